--- /dev/null
+++ b/src/domain.rs
@@ -0,0 +1,220 @@
+//! Values that the decisions speak in: ids, times, hosts, calls and the terms of a deployment.
+
+use std::ops::{Add, AddAssign, Sub};
+
+/// A length of time in whole nanoseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(pub u64);
+
+/// A point on the instance's clock, in whole nanoseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Time(pub u64);
+
+impl Span {
+    pub const ZERO: Span = Span(0);
+
+    pub const fn ms(ms: u64) -> Span {
+        Span(ms * 1_000_000)
+    }
+
+    pub fn seconds(self) -> f64 {
+        self.0 as f64 / 1e9
+    }
+
+    /// Negative and non-finite values give zero; what is too long is cut to the longest span.
+    pub fn from_seconds(s: f64) -> Span {
+        Span((s * 1e9).round() as u64)
+    }
+
+    pub fn times(self, factor: f64) -> Span {
+        Span((self.0 as f64 * factor).round() as u64)
+    }
+}
+
+impl Time {
+    /// The time from `earlier` to this one, zero if it lies ahead.
+    pub fn since(self, earlier: Time) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Span> for Time {
+    type Output = Time;
+    fn add(self, span: Span) -> Time {
+        Time(self.0.saturating_add(span.0))
+    }
+}
+
+impl AddAssign<Span> for Time {
+    fn add_assign(&mut self, span: Span) {
+        *self = *self + span;
+    }
+}
+
+impl Sub<Span> for Time {
+    type Output = Time;
+    fn sub(self, span: Span) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
+}
+
+macro_rules! ids {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+ids! {
+    /// One try of a client; never used twice.
+    CallId(u64);
+    /// Number of a leg within its call, from 0.
+    LegNo(u16);
+    /// A host's address as one number; it carries no meaning.
+    HostId(u64);
+    /// Index of a zone.
+    Zone(u16);
+    /// A few hosts that share which references they have seen.
+    Cell(u16);
+    /// Index of a traffic type.
+    TrafficId(u8);
+    /// Index of a customer with a share of the fleet.
+    TenantId(u32);
+    /// Connections of one group share work on a host.
+    GroupId(u64);
+    /// Index of a node of the same tier.
+    Peer(u32);
+    /// Names an alarm of the instance.
+    Token(u32);
+}
+
+/// What running a call twice would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Repeatable,
+    /// A repeat is recognised by the hosts of one scope for a while.
+    Referenced {
+        scope: Scope,
+        window: Span,
+    },
+    OnceOnly,
+}
+
+/// Which hosts discard the repeats of a referenced call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// How a leg ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Completed,
+    Error,
+    /// Turned away unseen: a full queue, or draining.
+    Full,
+    TimedOut,
+    /// No connection came about.
+    Unreachable,
+    /// The connection broke while the leg was out.
+    Broken,
+    Recalled,
+    NeverSent,
+}
+
+impl Ending {
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::Full | Ending::Unreachable | Ending::NeverSent)
+    }
+}
+
+/// One line of the host list.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Listed {
+    pub host: HostId,
+    pub zone: Zone,
+    pub cell: Cell,
+    pub condition: Condition,
+    /// A size to compare with other hosts' sizes.
+    pub share: f64,
+    /// When it last started; `None` is long ago.
+    pub up_since: Option<Time>,
+}
+
+/// Whether a list names all hosts or only those that changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Extent {
+    /// The whole list as last seen, maybe stale.
+    Remembered,
+    Whole,
+    Changes,
+}
+
+/// A call as it reaches the node, or a connection that was open when the node started.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Call {
+    pub id: CallId,
+    pub traffic: TrafficId,
+    pub tenant: TenantId,
+    pub group: Option<GroupId>,
+    pub guard: Time,
+    /// Expected load in seconds of work a second.
+    pub load: Option<f64>,
+    /// Packets of a connection that is already open on some host.
+    pub mid_flow: bool,
+}
+
+/// News of a leg that is still out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum News {
+    /// The connection's load now, in seconds of work a second.
+    Load(f64),
+    /// What a message takes at the host now.
+    MessageTime(Span),
+}
+
+/// What the deployment says of a traffic type.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Traffic {
+    pub effect: Effect,
+    pub setup_target: Span,
+    pub message_target: Option<Span>,
+}
+
+/// How a cold host warms up and what pushes it over.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Warming {
+    pub from: f64,
+    pub after: Span,
+    pub multiple: f64,
+    pub window: Span,
+}
+
+/// What the deployment allows, asks and pays, as far as the decisions read it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    pub traffic: Vec<Traffic>,
+    pub zone: Zone,
+    pub me: u32,
+    pub nodes: u32,
+    pub tick: Span,
+    pub max_legs: u16,
+    pub may_probe: bool,
+    pub may_recall: bool,
+    /// The longest wait that clients follow after a reject, where they are told one.
+    pub come_back: Option<Span>,
+    /// The list must be asked for, at least this often without a subscription.
+    pub ask_within: Option<Span>,
+    pub warming: Warming,
+    pub crossing_price: f64,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,8 @@
+//! glendeck: a balancer for long-lived connections.
+//!
+//! [`rules::Node`] makes every decision. [`domain`] holds the values it speaks in, [`port`] the interface
+//! between the decisions and whatever carries them out.
+
+pub mod domain;
+pub mod port;
+pub mod rules;
--- /dev/null
+++ b/src/port.rs
@@ -0,0 +1,26 @@
+//! The interface between the decisions and what carries them out.
+//!
+//! Whoever hosts a node calls the methods of [`crate::rules::Node`] with what has happened; each gets the
+//! time and a [`Port`] on which the node says what to do, in order. One call gets one `reject`, one `release`
+//! or the completion that the host's own answer brings.
+
+use crate::domain::{CallId, HostId, LegNo, Span, Time, Token};
+
+pub trait Port {
+    /// Send a leg. It times out after `within`.
+    fn send_leg(&mut self, call: CallId, host: HostId, within: Span);
+    /// Final answer: a new try does no harm, after `come_back` if that is given.
+    fn reject(&mut self, call: CallId, come_back: Option<Span>);
+    /// Final answer without any assurance.
+    fn release(&mut self, call: CallId);
+    /// Stop waiting for a leg.
+    fn recall(&mut self, call: CallId, leg: LegNo);
+    /// End an open connection politely; its client comes again.
+    fn move_away(&mut self, call: CallId);
+    fn probe(&mut self, host: HostId);
+    /// Ask for the whole host list once.
+    fn fetch_list(&mut self);
+    /// Ask to be sent the changes of the host list from now on.
+    fn follow_list(&mut self);
+    fn wake_at(&mut self, time: Time, token: Token);
+}
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,927 @@
+//! All decisions of a node. Start one with [`Node::start`], then tell it what happens by its other methods,
+//! in the order in which it happens; it answers on the [`Port`] handed in. The values are defined in
+//! `domain.rs`, the port in `port.rs`. docs/design.md says where the mechanism comes from.
+//!
+//! A call passes the stages of [`CHAIN`]: whether it may still be tried, where it goes, and the one place
+//! that sends legs and checks each. The end of a leg passes them in reverse.
+
+use nanorand::{Rng, WyRand};
+use rustc_hash::FxHashMap;
+use slab::Slab;
+
+use crate::domain::*;
+use crate::port::Port;
+
+const SECOND: Token = Token(0);
+const HELD: Token = Token(1);
+const ASK: Token = Token(2);
+
+/// What a stage does with a call on its way out.
+enum Step {
+    Pass,
+    Keep,
+    End,
+}
+
+/// What a stage does with the end of a leg on its way back.
+enum Back {
+    Pass,
+    Done,
+}
+
+struct Stage {
+    out: fn(&mut Node, usize, &mut dyn Port) -> Step,
+    back: fn(&mut Node, usize, Ended, &mut dyn Port) -> Back,
+}
+
+const CHAIN: [Stage; 3] = [
+    Stage {
+        out: Node::standing,
+        back: Node::go_on,
+    },
+    Stage {
+        out: Node::place,
+        back: Node::learn,
+    },
+    Stage {
+        out: Node::send,
+        back: Node::take_back,
+    },
+];
+
+#[derive(Clone, Copy)]
+struct Ended {
+    ending: Ending,
+    /// The call has its final answer, by this ending or before it.
+    final_answer: bool,
+    host: usize,
+    was_set_up: bool,
+}
+
+struct InHand {
+    call: Call,
+    legs: u16,
+    /// The host of the leg that is out, and the leg's place among that host's.
+    out: Option<(usize, usize)>,
+    chosen: usize,
+    set_up: bool,
+    answered: bool,
+    held: bool,
+    load: Option<f64>,
+    /// The first leg that may have run: its host and when it was sent.
+    ran: Option<(usize, Time)>,
+    sent: Time,
+    failed_at: Vec<usize>,
+}
+
+struct Aside {
+    next_probe: Time,
+    answers: u32,
+}
+
+struct Host {
+    id: HostId,
+    zone: Zone,
+    cell: Cell,
+    condition: Condition,
+    share: f64,
+    up_since: Option<Time>,
+    /// The calls with a leg here, in no order that means anything.
+    legs: Vec<usize>,
+    setting_up: u32,
+    told_load: f64,
+    told: u32,
+    work: f64,
+    work_at: Time,
+    work_before: f64,
+    smoothed: f64,
+    trouble: f64,
+    aside: Option<Aside>,
+    wait: Span,
+    trial: u32,
+    strain: f64,
+    broke: u32,
+    budget: f64,
+    budget_at: Time,
+}
+
+pub struct Node {
+    terms: Terms,
+    rng: WyRand,
+    now: Time,
+    hosts: Vec<Host>,
+    host_no: FxHashMap<HostId, usize>,
+    calls: Slab<InHand>,
+    call_no: FxHashMap<CallId, usize>,
+    groups: FxHashMap<GroupId, Vec<u32>>,
+    held: Vec<usize>,
+    held_spare: Vec<usize>,
+    held_wake: Option<Time>,
+    told_load: f64,
+    told: u32,
+    mean_load: f64,
+    arrivals: u32,
+    arrival_rate: f64,
+    seconds: u64,
+    ticked: Time,
+    doubts_itself: bool,
+    following: bool,
+    asked: bool,
+    refusals: u32,
+    ask_at: Time,
+}
+
+impl Node {
+    pub fn start(terms: Terms, seed: u64, now: Time, port: &mut dyn Port) -> Node {
+        let mut rng = WyRand::new_seed(seed);
+        // Nodes that start together tick at different moments, so that their moves do not coincide.
+        let offset = Span::ms(1000).times(f64::from(rng.generate::<f32>()));
+        port.wake_at(now + offset, SECOND);
+        let asks = terms.ask_within.is_some();
+        if asks {
+            port.follow_list();
+        }
+        Node {
+            rng,
+            now,
+            hosts: Vec::new(),
+            host_no: FxHashMap::default(),
+            calls: Slab::new(),
+            call_no: FxHashMap::default(),
+            groups: FxHashMap::default(),
+            held: Vec::new(),
+            held_spare: Vec::new(),
+            held_wake: None,
+            told_load: 0.0,
+            told: 0,
+            mean_load: 0.0,
+            arrivals: 0,
+            arrival_rate: 0.0,
+            seconds: 0,
+            ticked: now,
+            doubts_itself: false,
+            following: !asks,
+            asked: asks,
+            refusals: 0,
+            ask_at: now,
+            terms,
+        }
+    }
+
+    pub fn knows_traffic(&self, traffic: TrafficId) -> bool {
+        usize::from(traffic.0) < self.terms.traffic.len()
+    }
+
+    // The chain.
+
+    fn pass_on(&mut self, no: usize, port: &mut dyn Port) {
+        for stage in &CHAIN {
+            match (stage.out)(self, no, port) {
+                Step::Pass => {}
+                Step::Keep => return self.hold(no, port),
+                Step::End => return self.answer(no, port),
+            }
+        }
+    }
+
+    fn pass_back(&mut self, no: usize, ended: Ended, port: &mut dyn Port) {
+        for stage in CHAIN.iter().rev() {
+            if let Back::Done = (stage.back)(self, no, ended, port) {
+                return;
+            }
+        }
+    }
+
+    /// First stage: whether the call may have another leg at all.
+    fn standing(&mut self, no: usize, _: &mut dyn Port) -> Step {
+        let held = &self.calls[no];
+        if held.legs >= self.terms.max_legs || self.left(no) == Span::ZERO || !self.may_repeat(no) {
+            return Step::End;
+        }
+        Step::Pass
+    }
+
+    fn go_on(&mut self, no: usize, ended: Ended, port: &mut dyn Port) -> Back {
+        if ended.final_answer || self.calls[no].answered {
+            self.drop_call(no);
+        } else {
+            self.pass_on(no, port);
+        }
+        Back::Done
+    }
+
+    /// Second stage: the lowest-scoring host that is open to the call; ties break at random.
+    fn place(&mut self, no: usize, _: &mut dyn Port) -> Step {
+        let local = self.local_burden();
+        let (mut best, mut ties) = (None, 0u32);
+        for host in 0..self.hosts.len() {
+            if !self.is_trusted(host) || !self.is_permitted(no, host) {
+                continue;
+            }
+            let failed = self.calls[no].failed_at.contains(&host);
+            let cost = (failed, self.burden(host, local) + self.group_cost(no, host));
+            match best {
+                Some((least, _)) if cost > least => {}
+                Some((least, _)) if cost == least => {
+                    ties += 1;
+                    if self.rng.generate_range(0..=ties) == 0 {
+                        best = Some((cost, host));
+                    }
+                }
+                _ => (best, ties) = (Some((cost, host)), 0),
+            }
+        }
+        let Some((_, host)) = best else { return Step::Keep };
+        self.calls[no].chosen = host;
+        Step::Pass
+    }
+
+    /// Last stage, and the one place that sends legs: each is checked against all four rules here.
+    fn send(&mut self, no: usize, port: &mut dyn Port) -> Step {
+        let host = self.calls[no].chosen;
+        if !self.is_permitted(no, host) {
+            return Step::Keep;
+        }
+        if self.warmth(host) < 1.0 {
+            self.hosts[host].budget -= 1.0;
+        }
+        let within = self.leg_time(no);
+        self.settle(host);
+        let place = self.hosts[host].legs.len();
+        let call = &mut self.calls[no];
+        call.legs += 1;
+        call.sent = self.now;
+        call.out = Some((host, place));
+        call.set_up = false;
+        let (id, group) = (call.call.id, call.call.group);
+        self.hosts[host].setting_up += 1;
+        self.hosts[host].legs.push(no);
+        self.count_load(no, host, 1.0);
+        if let Some(group) = group {
+            *self.group_on(group, host) += 1;
+        }
+        port.send_leg(id, self.hosts[host].id, within);
+        Step::Pass
+    }
+
+    /// All that a leg may not break, asked while choosing and again on sending.
+    fn is_permitted(&self, no: usize, host: usize) -> bool {
+        let (call, to) = (&self.calls[no], &self.hosts[host]);
+        call.out.is_none()
+            && !call.answered
+            && call.legs < self.terms.max_legs
+            && self.left(no) > Span::ZERO
+            && to.condition == Condition::Ready
+            && (self.warmth(host) >= 1.0 || to.budget >= 1.0)
+            && self.may_repeat_on(no, host)
+    }
+
+    fn effect(&self, no: usize) -> Effect {
+        self.terms.traffic[usize::from(self.calls[no].call.traffic.0)].effect
+    }
+
+    fn may_repeat(&self, no: usize) -> bool {
+        match (self.effect(no), self.calls[no].ran) {
+            (Effect::Repeatable, _) | (_, None) => true,
+            (Effect::Referenced { window, .. }, Some((_, sent))) => self.now.since(sent) < window,
+            (Effect::OnceOnly, Some(_)) => false,
+        }
+    }
+
+    fn may_repeat_on(&self, no: usize, host: usize) -> bool {
+        let (Effect::Referenced { scope, .. }, Some((first, _))) = (self.effect(no), self.calls[no].ran)
+        else {
+            return self.may_repeat(no);
+        };
+        let (first, to) = (&self.hosts[first], &self.hosts[host]);
+        self.may_repeat(no)
+            && match scope {
+                Scope::All => true,
+                Scope::Zone => first.zone == to.zone,
+                Scope::Cell => first.cell == to.cell,
+            }
+    }
+
+    /// A reject assures the client that a new try does no harm.
+    fn may_reject(&self, no: usize) -> bool {
+        match (self.effect(no), self.calls[no].ran) {
+            (Effect::Repeatable, _) | (_, None) => true,
+            (
+                Effect::Referenced {
+                    scope: Scope::All, ..
+                },
+                _,
+            ) => self.may_repeat(no),
+            _ => false,
+        }
+    }
+
+    /// What is left for another leg. Two ticks are kept back: what comes at the guard time itself is seen a
+    /// tick later, and the answer must still be in time.
+    fn left(&self, no: usize) -> Span {
+        (self.calls[no].call.guard - self.terms.tick.times(2.0)).since(self.now)
+    }
+
+    /// A leg may take the setup target; the later ones half of what is left, so that another leg has room.
+    fn leg_time(&self, no: usize) -> Span {
+        let (call, left) = (&self.calls[no], self.left(no));
+        let target = self.terms.traffic[usize::from(call.call.traffic.0)].setup_target;
+        if call.legs + 1 >= self.terms.max_legs {
+            left
+        } else {
+            left.times(0.5).max(target).min(left)
+        }
+    }
+
+    fn answer(&mut self, no: usize, port: &mut dyn Port) {
+        let id = self.calls[no].call.id;
+        if self.may_reject(no) {
+            // Clients that were turned away together come back spread over the second half of the wait.
+            let spread = 0.5 + 0.5 * self.chance();
+            port.reject(id, self.terms.come_back.map(|most| most.times(spread)));
+        } else {
+            port.release(id);
+        }
+        self.drop_call(no);
+    }
+
+    fn drop_call(&mut self, no: usize) {
+        let call = self.calls.remove(no);
+        self.call_no.remove(&call.call.id);
+        if call.held {
+            self.held.retain(|held| *held != no);
+        }
+    }
+
+    /// No host may take the call now: it waits for one, and is answered in time if none appears.
+    fn hold(&mut self, no: usize, port: &mut dyn Port) {
+        self.calls[no].held = true;
+        self.held.push(no);
+        self.wake_held(port);
+    }
+
+    fn wake_held(&mut self, port: &mut dyn Port) {
+        if self.held.is_empty() {
+            return;
+        }
+        // 40 ms: short against any setup target, and long enough to cost little CPU.
+        let left = self
+            .held
+            .iter()
+            .map(|no| self.left(*no))
+            .min()
+            .unwrap_or_default();
+        let due = self.now + Span::ms(40).min(left);
+        if self.held_wake.is_none_or(|wake| due < wake) {
+            self.held_wake = Some(due);
+            port.wake_at(due, HELD);
+        }
+    }
+
+    fn retry_held(&mut self, port: &mut dyn Port) {
+        let mut held = std::mem::replace(&mut self.held, std::mem::take(&mut self.held_spare));
+        for no in held.drain(..) {
+            self.calls[no].held = false;
+            self.pass_on(no, port);
+        }
+        self.held_spare = held;
+    }
+
+    // Scores.
+
+    /// The design's score: own connections plus the smoothed load, in connections of the mean load.
+    fn score(&self, host: usize) -> f64 {
+        let load = if self.mean_load > 0.0 {
+            self.hosts[host].smoothed / self.mean_load
+        } else {
+            0.0
+        };
+        self.hosts[host].legs.len() as f64 + load
+    }
+
+    /// The score by the host's size, stretched while the host copes badly. Hosts of another zone carry a
+    /// load of their own that this node cannot see: as much as ours, where a crossing is dear.
+    fn burden(&self, host: usize, local: f64) -> f64 {
+        let to = &self.hosts[host];
+        // 10: a crossing price of a tenth keeps calls at home until hosts there are strained.
+        let away = if to.zone == self.terms.zone {
+            0.0
+        } else {
+            (10.0 * self.terms.crossing_price).min(1.0)
+        };
+        (self.score(host) / self.size(host) + away * local) * (1.0 + to.strain)
+    }
+
+    fn size(&self, host: usize) -> f64 {
+        self.hosts[host].share.max(1e-6) * self.warmth(host)
+    }
+
+    fn local_burden(&self) -> f64 {
+        let (mut score, mut size) = (0.0, 0.0);
+        for host in 0..self.hosts.len() {
+            if self.hosts[host].zone == self.terms.zone && self.is_trusted(host) {
+                score += self.score(host);
+                size += self.size(host);
+            }
+        }
+        if size > 0.0 { score / size } else { 0.0 }
+    }
+
+    fn group_cost(&mut self, no: usize, host: usize) -> f64 {
+        let group = self.calls[no].call.group;
+        match group {
+            Some(group) if *self.group_on(group, host) == 0 => 2.0 / self.size(host),
+            _ => 0.0,
+        }
+    }
+
+    fn group_on(&mut self, group: GroupId, host: usize) -> &mut u32 {
+        let on = self.groups.entry(group).or_default();
+        if on.len() <= host {
+            on.resize(self.hosts.len().max(host + 1), 0);
+        }
+        &mut on[host]
+    }
+
+    fn count_load(&mut self, no: usize, host: usize, sign: f64) {
+        self.settle(host);
+        if let Some(load) = self.calls[no].load {
+            let to = &mut self.hosts[host];
+            to.told_load += sign * load;
+            to.told = to.told.wrapping_add_signed(sign as i32);
+            self.told_load += sign * load;
+            self.told = self.told.wrapping_add_signed(sign as i32);
+        }
+        if self.told > 0 {
+            self.mean_load = (self.told_load / f64::from(self.told)).max(0.0);
+        }
+    }
+
+    /// Brings the work that the host was asked for up to now; who told no load counts as the mean.
+    fn settle(&mut self, host: usize) {
+        let to = &mut self.hosts[host];
+        let untold = to.legs.len() as f64 - f64::from(to.told);
+        to.work += (to.told_load + untold * self.mean_load) * self.now.since(to.work_at).seconds();
+        to.work_at = self.now;
+    }
+
+    /// Share of its capacity that a host has for certain by now.
+    fn warmth(&self, host: usize) -> f64 {
+        let Some(up) = self.hosts[host].up_since else {
+            return 1.0;
+        };
+        let warming = &self.terms.warming;
+        let done = self.now.since(up).seconds() / warming.after.seconds().max(1e-9);
+        warming.from + (1.0 - warming.from) * done.min(1.0)
+    }
+
+    fn is_trusted(&self, host: usize) -> bool {
+        let to = &self.hosts[host];
+        to.condition == Condition::Ready
+            && (self.doubts_itself || to.aside.is_none())
+            && (to.trial == 0 || to.setting_up == 0)
+    }
+
+    // What legs teach.
+
+    fn take_back(&mut self, no: usize, ended: Ended, _: &mut dyn Port) -> Back {
+        let Some((host, place)) = self.calls[no].out.take() else {
+            return Back::Done;
+        };
+        if !ended.was_set_up {
+            self.hosts[host].setting_up -= 1;
+        }
+        self.settle(host);
+        self.hosts[host].legs.swap_remove(place);
+        if let Some(moved) = self.hosts[host].legs.get(place).copied() {
+            self.calls[moved].out = Some((host, place));
+        }
+        self.count_load(no, host, -1.0);
+        if let Some(group) = self.calls[no].call.group {
+            *self.group_on(group, host) -= 1;
+        }
+        let call = &mut self.calls[no];
+        if !ended.ending.never_ran() && call.ran.is_none() {
+            call.ran = Some((host, call.sent));
+        }
+        if !ended.final_answer {
+            call.failed_at.push(host);
+        }
+        Back::Pass
+    }
+
+    fn learn(&mut self, _: usize, ended: Ended, _: &mut dyn Port) -> Back {
+        let host = ended.host;
+        match (ended.ending, ended.was_set_up) {
+            (Ending::Broken, true) => {
+                // Danger: a host that died takes all its connections along, and the list says so seconds later.
+                // Three within a second that are a third of what it held are no chance.
+                self.hosts[host].broke += 1;
+                let to = &self.hosts[host];
+                if to.broke >= 3 && to.broke as usize * 3 >= to.legs.len() + to.broke as usize {
+                    self.set_aside(host);
+                }
+            }
+            (Ending::Error | Ending::TimedOut | Ending::Unreachable | Ending::Broken, false) => {
+                self.judge(host, true)
+            }
+            (Ending::Full, _) => self.hosts[host].strain = (self.hosts[host].strain + 0.5).min(4.0),
+            _ => {}
+        }
+        Back::Pass
+    }
+
+    /// Danger: a host that fails fast has few connections and would draw every call.
+    fn judge(&mut self, host: usize, failed: bool) {
+        let to = &mut self.hosts[host];
+        // 0.3 and one half: two failures in a row set a host aside that was well before.
+        to.trouble += 0.3 * (f64::from(u8::from(failed)) - to.trouble);
+        if failed && (to.trouble > 0.5 || to.trial > 0) {
+            self.set_aside(host);
+        } else if !failed && to.trial > 0 {
+            to.trial -= 1;
+            if to.trial == 0 {
+                to.wait = Span::ZERO;
+            }
+        }
+    }
+
+    fn set_aside(&mut self, host: usize) {
+        let spread = 0.75 + 0.5 * self.chance();
+        let to = &mut self.hosts[host];
+        if to.aside.is_none() {
+            to.wait = to.wait.times(2.0).clamp(Span::ms(1000), Span::ms(8000));
+            to.aside = Some(Aside {
+                next_probe: self.now + to.wait.times(spread),
+                answers: 0,
+            });
+            self.doubt();
+        }
+    }
+
+    /// Danger: when most hosts look bad it is more likely the node's own view, and the rest would be crushed.
+    fn doubt(&mut self) {
+        let ready = self.hosts.iter().filter(|to| to.condition == Condition::Ready);
+        let (all, aside) = ready.fold((0, 0), |(all, aside), to| {
+            (all + 1, aside + usize::from(to.aside.is_some()))
+        });
+        self.doubts_itself = aside * 2 > all;
+    }
+
+    fn probe_hosts(&mut self, port: &mut dyn Port) {
+        for host in 0..self.hosts.len() {
+            let spread = 0.75 + 0.5 * self.chance();
+            let to = &mut self.hosts[host];
+            let Some(aside) = &mut to.aside else { continue };
+            if to.condition != Condition::Ready || aside.next_probe > self.now {
+                continue;
+            }
+            aside.next_probe = self.now + to.wait.times(spread);
+            if self.terms.may_probe {
+                port.probe(to.id);
+            } else {
+                self.take_up(host);
+            }
+        }
+    }
+
+    /// A host that was set aside is tried with one call at a time before it is trusted.
+    fn take_up(&mut self, host: usize) {
+        let to = &mut self.hosts[host];
+        to.aside = None;
+        to.trial = 3;
+        to.trouble = 0.3;
+        self.doubt();
+    }
+
+    // The clock.
+
+    fn every_second(&mut self, port: &mut dyn Port) {
+        let elapsed = self.now.since(self.ticked).seconds().max(1e-3);
+        self.ticked = self.now;
+        self.seconds += 1;
+        for host in 0..self.hosts.len() {
+            self.settle(host);
+            let to = &mut self.hosts[host];
+            // The document's smoothing constant.
+            const ALPHA: f64 = 0.06;
+            to.smoothed = to.smoothed * (1.0 - ALPHA) + (to.work - to.work_before) * ALPHA / elapsed;
+            to.work_before = to.work;
+            to.broke = 0;
+            // Halves in 5 s, the time between two moves.
+            to.strain *= 0.87;
+        }
+        self.fill_budgets(elapsed);
+        self.probe_hosts(port);
+        if self.seconds.is_multiple_of(5) {
+            self.move_one(port);
+        }
+        port.wake_at(self.now + Span::ms(1000), SECOND);
+    }
+
+    /// Danger: all nodes together push a cold host over. Each sends it no more than its own part of what a
+    /// host carries in the mean, times what the cold host can do by now and the multiple allowed.
+    fn fill_budgets(&mut self, elapsed: f64) {
+        // Danger: clients that return together would swell the rate, and the budgets with it.
+        let seen = (f64::from(self.arrivals) / elapsed).min(3.0 * self.arrival_rate + 1.0);
+        self.arrivals = 0;
+        self.arrival_rate += (seen - self.arrival_rate) * (1.0 / self.seconds as f64).max(0.06);
+        let ready = self.hosts.iter().filter(|to| to.condition == Condition::Ready);
+        let shares: f64 = ready.map(|to| to.share).sum();
+        for host in 0..self.hosts.len() {
+            let warmth = self.warmth(host);
+            if warmth < 1.0 {
+                // Half: the mean host may be larger than this one, and loads differ.
+                let part = self.hosts[host].share / shares.max(1e-6) * self.arrival_rate * 0.5;
+                let rate = self.terms.warming.multiple * warmth * part;
+                let to = &mut self.hosts[host];
+                to.budget += rate * self.now.since(to.budget_at).seconds();
+                to.budget = to.budget.min(1.0 + rate * self.terms.warming.window.seconds());
+                to.budget_at = self.now;
+            }
+        }
+    }
+
+    /// The design's gap test: one random connection leaves the top host, naming no target.
+    fn move_one(&mut self, port: &mut dyn Port) {
+        let local = self.local_burden();
+        let (mut top, mut low) = (None, None);
+        for host in (0..self.hosts.len()).filter(|host| self.hosts[*host].condition == Condition::Ready) {
+            let burden = self.burden(host, local);
+            if top.is_none_or(|(most, _)| burden > most) {
+                top = Some((burden, host));
+            }
+            if self.is_trusted(host) && low.is_none_or(|(least, _)| burden < least) {
+                low = Some((burden, host));
+            }
+        }
+        let (Some((most, top)), Some((least, low))) = (top, low) else {
+            return;
+        };
+        let (above, below) = (&self.hosts[top], &self.hosts[low]);
+        let more = above.legs.len() as f64 - below.legs.len() as f64;
+        let heavier = above.smoothed - below.smoothed >= 2.0 * self.mean_load && self.mean_load > 0.0;
+        if most - least <= 0.2 * most || !(more >= 2.0 || heavier) {
+            return;
+        }
+        let open = above.legs.iter().filter(|no| self.calls[**no].set_up).count();
+        if open > 0 {
+            let pick = self.rng.generate_range(0..open as u64) as usize;
+            let mut open = self.hosts[top].legs.iter().filter(|no| self.calls[**no].set_up);
+            if let Some(no) = open.nth(pick) {
+                port.move_away(self.calls[*no].call.id);
+            }
+        }
+    }
+
+    fn chance(&mut self) -> f64 {
+        f64::from(self.rng.generate::<f32>())
+    }
+
+    // What happens.
+
+    pub fn call_taken(&mut self, now: Time, call: Call, port: &mut dyn Port) {
+        self.now = now;
+        self.arrivals += 1;
+        let no = self.take_in(call);
+        self.pass_on(no, port);
+        self.wake_held(port);
+    }
+
+    fn take_in(&mut self, call: Call) -> usize {
+        let no = self.calls.insert(InHand {
+            load: call.load,
+            call,
+            legs: 0,
+            out: None,
+            chosen: 0,
+            set_up: false,
+            answered: false,
+            held: false,
+            ran: None,
+            sent: self.now,
+            failed_at: Vec::new(),
+        });
+        self.call_no.insert(call.id, no);
+        no
+    }
+
+    /// A connection that was open when the node started.
+    pub fn connection_found(&mut self, now: Time, call: Call, host: HostId) {
+        self.now = now;
+        let Some(host) = self.host_no.get(&host).copied() else {
+            return;
+        };
+        let no = self.take_in(call);
+        let place = self.hosts[host].legs.len();
+        let found = &mut self.calls[no];
+        (found.legs, found.set_up, found.out) = (1, true, Some((host, place)));
+        self.settle(host);
+        self.hosts[host].legs.push(no);
+        self.count_load(no, host, 1.0);
+        if let Some(group) = call.group {
+            *self.group_on(group, host) += 1;
+        }
+    }
+
+    pub fn leg_set_up(&mut self, now: Time, call: CallId, leg: LegNo, _took: Span) {
+        self.now = now;
+        let Some((no, host)) = self.leg_out(call, leg) else {
+            return;
+        };
+        if !self.calls[no].set_up {
+            self.calls[no].set_up = true;
+            self.hosts[host].setting_up -= 1;
+            self.judge(host, false);
+        }
+    }
+
+    fn leg_out(&self, call: CallId, leg: LegNo) -> Option<(usize, usize)> {
+        let no = *self.call_no.get(&call)?;
+        let held = self.calls.get(no).filter(|held| held.legs == leg.0 + 1)?;
+        held.out.map(|(host, _)| (no, host))
+    }
+
+    pub fn leg_ended(
+        &mut self,
+        now: Time,
+        call: CallId,
+        leg: LegNo,
+        ending: Ending,
+        final_answer: bool,
+        port: &mut dyn Port,
+    ) {
+        self.now = now;
+        let Some((no, host)) = self.leg_out(call, leg) else {
+            return;
+        };
+        let was_set_up = self.calls[no].set_up;
+        self.pass_back(
+            no,
+            Ended {
+                ending,
+                final_answer,
+                host,
+                was_set_up,
+            },
+            port,
+        );
+        self.wake_held(port);
+    }
+
+    /// The client left: nothing is owed, and the leg that is still out need not go on.
+    pub fn call_given_up(&mut self, now: Time, call: CallId, port: &mut dyn Port) {
+        self.now = now;
+        let Some(no) = self.call_no.get(&call).copied() else {
+            return;
+        };
+        if self.calls[no].out.is_none() {
+            return self.drop_call(no);
+        }
+        self.calls[no].answered = true;
+        if self.terms.may_recall && !self.calls[no].set_up {
+            port.recall(call, LegNo(self.calls[no].legs - 1));
+        }
+    }
+
+    pub fn leg_news(&mut self, now: Time, call: CallId, leg: LegNo, news: News) {
+        self.now = now;
+        let Some((no, host)) = self.leg_out(call, leg) else {
+            return;
+        };
+        match news {
+            News::Load(load) => {
+                self.count_load(no, host, -1.0);
+                self.calls[no].load = Some(load);
+                self.count_load(no, host, 1.0);
+            }
+            News::MessageTime(took) => {
+                let targets = self
+                    .terms
+                    .traffic
+                    .iter()
+                    .filter_map(|traffic| traffic.message_target);
+                let target = targets.min().unwrap_or(Span::ms(1000)).seconds().max(1e-3);
+                let to = &mut self.hosts[host];
+                to.strain = to.strain.max((took.seconds() / target).min(4.0));
+            }
+        }
+    }
+
+    pub fn woken(&mut self, now: Time, token: Token, port: &mut dyn Port) {
+        self.now = now;
+        match token {
+            SECOND => self.every_second(port),
+            HELD => {
+                self.held_wake = None;
+                self.retry_held(port);
+            }
+            ASK if now >= self.ask_at && !self.following && !self.asked => {
+                self.asked = true;
+                port.follow_list();
+            }
+            _ => {}
+        }
+        self.wake_held(port);
+    }
+
+    pub fn probe_ended(&mut self, now: Time, host: HostId, ending: Ending, _: &mut dyn Port) {
+        self.now = now;
+        let Some(host) = self.host_no.get(&host).copied() else {
+            return;
+        };
+        let to = &mut self.hosts[host];
+        let Some(aside) = &mut to.aside else { return };
+        if ending == Ending::Completed {
+            aside.answers += 1;
+            aside.next_probe = now + Span::ms(500);
+            if aside.answers >= 2 {
+                self.take_up(host);
+            }
+        } else {
+            aside.answers = 0;
+            to.wait = to.wait.times(2.0).min(Span::ms(8000));
+        }
+    }
+
+    // The host list.
+
+    pub fn list_told(&mut self, now: Time, extent: Extent, lines: &[Listed], port: &mut dyn Port) {
+        self.now = now;
+        if extent != Extent::Remembered && self.asked {
+            (self.asked, self.following, self.refusals) = (false, true, 0);
+        }
+        if extent != Extent::Changes {
+            for to in &mut self.hosts {
+                if !lines.iter().any(|line| line.host == to.id) {
+                    to.condition = Condition::Gone;
+                }
+            }
+        }
+        for line in lines {
+            match self.host_no.get(&line.host) {
+                Some(host) => {
+                    let to = &mut self.hosts[*host];
+                    if to.up_since != line.up_since {
+                        (to.up_since, to.budget, to.budget_at) = (line.up_since, 0.0, now);
+                    }
+                    (to.condition, to.share, to.zone, to.cell) =
+                        (line.condition, line.share, line.zone, line.cell);
+                }
+                None => self.add_host(line),
+            }
+        }
+        self.doubt();
+        self.retry_held(port);
+        self.wake_held(port);
+    }
+
+    /// An unheard-from host's load starts at the others' mean.
+    fn add_host(&mut self, line: &Listed) {
+        let mean = match self.hosts.len() {
+            0 => 0.0,
+            n => self.hosts.iter().map(|to| to.smoothed).sum::<f64>() / n as f64,
+        };
+        self.host_no.insert(line.host, self.hosts.len());
+        self.hosts.push(Host {
+            id: line.host,
+            zone: line.zone,
+            cell: line.cell,
+            condition: line.condition,
+            share: line.share,
+            up_since: line.up_since,
+            legs: Vec::new(),
+            setting_up: 0,
+            told_load: 0.0,
+            told: 0,
+            work: 0.0,
+            work_at: self.now,
+            work_before: 0.0,
+            smoothed: mean,
+            trouble: 0.0,
+            aside: None,
+            wait: Span::ZERO,
+            trial: 0,
+            strain: 0.0,
+            broke: 0,
+            budget: 0.0,
+            budget_at: self.now,
+        });
+    }
+
+    /// Danger: nodes that ask again in step keep the list's service crowded. The waits grow and differ.
+    pub fn list_failed(&mut self, now: Time, port: &mut dyn Port) {
+        self.now = now;
+        (self.asked, self.following) = (false, false);
+        self.refusals += 1;
+        let Some(ask_within) = self.terms.ask_within else {
+            return;
+        };
+        let longest = ask_within.times(0.3);
+        let wait = Span::ms(250)
+            .times(f64::from(1u32 << self.refusals.min(6)))
+            .min(longest);
+        self.ask_at = now + wait.times(0.5 + 0.5 * self.chance());
+        port.wake_at(self.ask_at, ASK);
+    }
+}
