--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -276,6 +276,7 @@
             group: Some(GroupId(self.u64(team))).filter(|group| group.0 != 0),
             guard: self.time(guard)?,
             load,
+            returning: marked & (2 | 16) != 0,
             mid_flow: marked & 8 != 0,
         })
     }
--- a/src/domain.rs
+++ b/src/domain.rs
@@ -170,6 +170,8 @@
     pub guard: Time,
     /// Expected load in seconds of work a second.
     pub load: Option<f64>,
+    /// The client has been here before: a repeat, or it returned after a break or a move.
+    pub returning: bool,
     /// Packets of a connection that is already open on some host.
     pub mid_flow: bool,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -622,7 +622,8 @@
     /// Danger: all nodes together push a cold host over. Each sends it no more than its own part of what a
     /// host carries in the mean, times what the cold host can do by now and the multiple allowed.
     fn fill_budgets(&mut self, elapsed: f64) {
-        // Danger: clients that return together would swell the rate, and the budgets with it.
+        // Danger: clients that return together would swell the rate, and the budgets with it. Those that say
+        // they return are not counted; a rise to three times a second catches the rest.
         let seen = (f64::from(self.arrivals) / elapsed).min(3.0 * self.arrival_rate + 1.0);
         self.arrivals = 0;
         self.arrival_rate += (seen - self.arrival_rate) * (1.0 / self.seconds as f64).max(0.06);
@@ -682,7 +683,7 @@
 
     pub fn call_taken(&mut self, now: Time, call: Call, port: &mut dyn Port) {
         self.now = now;
-        self.arrivals += 1;
+        self.arrivals += u32::from(!call.returning && !call.mid_flow);
         let no = self.take_in(call);
         self.pass_on(no, port);
         self.wake_held(port);
