--- a/src/rules.rs
+++ b/src/rules.rs
@@ -632,8 +632,8 @@
         for host in 0..self.hosts.len() {
             let warmth = self.warmth(host);
             if warmth < 1.0 {
-                // Half: the mean host may be larger than this one, and loads differ.
-                let part = self.hosts[host].share / shares.max(1e-6) * self.arrival_rate * 0.5;
+                // What hosts carry is well under what they can do, which leaves room for chance.
+                let part = self.hosts[host].share / shares.max(1e-6) * self.arrival_rate;
                 let rate = self.terms.warming.multiple * warmth * part;
                 let to = &mut self.hosts[host];
                 to.budget += rate * self.now.since(to.budget_at).seconds();
