Hold groups together: a host new to a group counts five connections more

Cause: every host that holds any of a group pays for it, and spreading groups by score alone wasted capacity.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -430,7 +430,7 @@
     fn group_cost(&mut self, no: usize, host: usize) -> f64 {
         let group = self.calls[no].call.group;
         match group {
-            Some(group) if *self.group_on(group, host) == 0 => 2.0 / self.size(host),
+            Some(group) if *self.group_on(group, host) == 0 => 5.0 / self.size(host),
             _ => 0.0,
         }
     }
