An overtaken alarm no longer starts a second chain of alarms

Cause of the missing reply on the donor incident: each earlier alarm for held calls started its own chain, and the chains multiplied.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -813,7 +813,9 @@
         self.now = now;
         match token {
             SECOND => self.every_second(port),
-            HELD => {
+            // Danger: an alarm that an earlier one has overtaken would start a second chain of alarms, and
+            // chains that multiply stop the node.
+            HELD if self.held_wake.is_some_and(|wake| now + self.terms.tick >= wake) => {
                 self.held_wake = None;
                 self.retry_held(port);
             }
