Limit hosts to what they coped with; one move a second off a strained host

Cause: past its capacity a host serves nobody in time, drops connections, and these return as more work.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -67,6 +67,7 @@
     set_up: bool,
     answered: bool,
     held: bool,
+    leaving: bool,
     load: Option<f64>,
     /// The first leg that may have run: its host and when it was sent.
     ran: Option<(usize, Time)>,
@@ -100,6 +101,11 @@
     wait: Span,
     trial: u32,
     strain: f64,
+    /// It said within the last second that it is past what it can do.
+    over: bool,
+    full_until: Time,
+    /// The most of our connections' load that it has coped with, once it has shown where that lies.
+    limit: f64,
     broke: u32,
     budget: f64,
     budget_at: Time,
@@ -480,6 +486,17 @@
         to.condition == Condition::Ready
             && (self.doubts_itself || to.aside.is_none())
             && (to.trial == 0 || to.setting_up == 0)
+            && self.weight(host) < to.limit
+            && to.full_until <= self.now
+    }
+
+    /// What the host holds for us now, in connections of the mean load.
+    fn weight(&self, host: usize) -> f64 {
+        let to = &self.hosts[host];
+        if self.mean_load <= 0.0 {
+            return to.legs.len() as f64;
+        }
+        to.told_load / self.mean_load + to.legs.len() as f64 - f64::from(to.told)
     }
 
     // What legs teach.
@@ -516,7 +533,9 @@
             (Ending::Broken, true) => {
                 // Danger: a host that died takes all its connections along, and the list says so seconds later.
                 // Three within a second that are a third of what it held are no chance.
-                self.hosts[host].broke += 1;
+                let to = &mut self.hosts[host];
+                to.broke += 1;
+                to.over = true;
                 let to = &self.hosts[host];
                 if to.broke >= 3 && to.broke as usize * 3 >= to.legs.len() + to.broke as usize {
                     self.set_aside(host);
@@ -525,7 +544,7 @@
             (Ending::Error | Ending::TimedOut | Ending::Unreachable | Ending::Broken, false) => {
                 self.judge(host, true)
             }
-            (Ending::Full, _) => self.hosts[host].strain = (self.hosts[host].strain + 0.5).min(4.0),
+            (Ending::Full, _) => self.hosts[host].full_until = self.now + Span::ms(200),
             _ => {}
         }
         Back::Pass
@@ -613,12 +632,39 @@
         }
         self.fill_budgets(elapsed);
         self.probe_hosts(port);
+        self.relieve(port);
         if self.seconds.is_multiple_of(5) {
             self.move_one(port);
         }
         port.wake_at(self.now + Span::ms(1000), SECOND);
     }
 
+    /// Danger: a host past what it can do serves nobody in time, drops connections, and these come back as
+    /// more work still. It takes no more than it coped with, and what it has above that leaves at once.
+    fn relieve(&mut self, port: &mut dyn Port) {
+        for host in 0..self.hosts.len() {
+            let weight = self.weight(host);
+            let to = &mut self.hosts[host];
+            if !std::mem::take(&mut to.over) {
+                to.limit *= 1.02;
+                continue;
+            }
+            to.limit = to.limit.min(weight * 0.9);
+            if let Some(no) = self.random_open(host) {
+                self.calls[no].leaving = true;
+                port.move_away(self.calls[no].call.id);
+            }
+        }
+    }
+
+    fn random_open(&mut self, host: usize) -> Option<usize> {
+        let is_open = |no: &&usize| self.calls[**no].set_up && !self.calls[**no].leaving;
+        let open = self.hosts[host].legs.iter().filter(is_open).count();
+        let pick = (open > 0).then(|| self.rng.generate_range(0..open as u64) as usize)?;
+        let is_open = |no: &&usize| self.calls[**no].set_up && !self.calls[**no].leaving;
+        self.hosts[host].legs.iter().filter(is_open).nth(pick).copied()
+    }
+
     /// Danger: all nodes together push a cold host over. Each sends it no more than its own part of what a
     /// host carries in the mean, times what the cold host can do by now and the multiple allowed.
     fn fill_budgets(&mut self, elapsed: f64) {
@@ -665,13 +711,9 @@
         if most - least <= 0.2 * most || !(more >= 2.0 || heavier) {
             return;
         }
-        let open = above.legs.iter().filter(|no| self.calls[**no].set_up).count();
-        if open > 0 {
-            let pick = self.rng.generate_range(0..open as u64) as usize;
-            let mut open = self.hosts[top].legs.iter().filter(|no| self.calls[**no].set_up);
-            if let Some(no) = open.nth(pick) {
-                port.move_away(self.calls[*no].call.id);
-            }
+        if let Some(no) = self.random_open(top) {
+            self.calls[no].leaving = true;
+            port.move_away(self.calls[no].call.id);
         }
     }
 
@@ -699,6 +741,7 @@
             set_up: false,
             answered: false,
             held: false,
+            leaving: false,
             ran: None,
             sent: self.now,
             failed_at: Vec::new(),
@@ -804,7 +847,10 @@
                     .filter_map(|traffic| traffic.message_target);
                 let target = targets.min().unwrap_or(Span::ms(1000)).seconds().max(1e-3);
                 let to = &mut self.hosts[host];
-                to.strain = to.strain.max((took.seconds() / target).min(4.0));
+                let strain = took.seconds() / target;
+                to.strain = to.strain.max(strain.min(4.0));
+                // From half the target on, the share of messages that miss it grows steeply.
+                to.over |= strain > 0.5;
             }
         }
     }
@@ -906,6 +952,9 @@
             wait: Span::ZERO,
             trial: 0,
             strain: 0.0,
+            over: false,
+            full_until: self.now,
+            limit: f64::INFINITY,
             broke: 0,
             budget: 0.0,
             budget_at: self.now,
