--- a/src/rules.rs
+++ b/src/rules.rs
@@ -131,6 +131,8 @@
     seconds: u64,
     ticked: Time,
     doubts_itself: bool,
+    /// Connections of the mean load, for each unit of size, past which a host would stand out.
+    crowded: f64,
     following: bool,
     asked: bool,
     refusals: u32,
@@ -166,6 +168,7 @@
             seconds: 0,
             ticked: now,
             doubts_itself: false,
+            crowded: f64::INFINITY,
             following: !asks,
             asked: asks,
             refusals: 0,
@@ -486,7 +489,7 @@
         to.condition == Condition::Ready
             && (self.doubts_itself || to.aside.is_none())
             && (to.trial == 0 || to.setting_up == 0)
-            && self.weight(host) < to.limit
+            && self.weight(host) < to.limit.min(self.crowded * self.size(host) + 1.0)
             && to.full_until <= self.now
     }
 
@@ -642,6 +645,19 @@
     /// Danger: a host past what it can do serves nobody in time, drops connections, and these come back as
     /// more work still. It takes no more than it coped with, and what it has above that leaves at once.
     fn relieve(&mut self, port: &mut dyn Port) {
+        let mut sums = (0.0, 0.0);
+        for host in 0..self.hosts.len() {
+            if self.hosts[host].condition == Condition::Ready && self.hosts[host].zone == self.terms.zone {
+                sums = (sums.0 + self.weight(host), sums.1 + self.size(host));
+            }
+        }
+        // Danger: when the others have shown their limits, all would go to the one host that has not.
+        // Half as much again as the mean is what hosts of one size differ by in what they can do.
+        self.crowded = if sums.1 > 0.0 {
+            1.5 * sums.0 / sums.1
+        } else {
+            f64::INFINITY
+        };
         for host in 0..self.hosts.len() {
             let weight = self.weight(host);
             let to = &mut self.hosts[host];
