--- a/crates/simhost/src/profile.rs
+++ b/crates/simhost/src/profile.rs
@@ -10,11 +10,7 @@
     #[error("setting {0} is missing")]
     Missing(String),
     #[error("setting {key} has the value {value:?}, expected {expected}")]
-    Bad {
-        key: String,
-        value: String,
-        expected: &'static str,
-    },
+    Bad { key: String, value: String, expected: &'static str },
     #[error("line {line} of the settings is no path=value pair")]
     NoPair { line: usize },
 }
@@ -23,10 +19,7 @@
 
 impl<'a> Pairs<'a> {
     fn text(&self, key: &str) -> Result<&'a str, ProfileFault> {
-        self.0
-            .get(key)
-            .copied()
-            .ok_or_else(|| ProfileFault::Missing(key.to_owned()))
+        self.0.get(key).copied().ok_or_else(|| ProfileFault::Missing(key.to_owned()))
     }
 
     fn parse<T: FromStr>(&self, key: &str, expected: &'static str) -> Result<T, ProfileFault> {
@@ -44,11 +37,7 @@
     }
 
     fn number_or(&self, key: &str, absent: f64) -> Result<f64, ProfileFault> {
-        if self.0.contains_key(key) {
-            self.number(key)
-        } else {
-            Ok(absent)
-        }
+        if self.0.contains_key(key) { self.number(key) } else { Ok(absent) }
     }
 
     fn span(&self, key: &str) -> Result<Span, ProfileFault> {
@@ -66,11 +55,7 @@
         };
         let each = |n: &str| match n {
             "null" => Some(None),
-            n => n
-                .parse()
-                .ok()
-                .filter(|n: &f64| n.is_finite() && *n >= 0.0)
-                .map(Some),
+            n => n.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0).map(Some),
         };
         let numbers: Option<Vec<Option<f64>>> = text.split(',').map(each).collect();
         numbers.ok_or_else(|| bad(key, text, "numbers with commas between them"))
@@ -78,23 +63,13 @@
 }
 
 fn bad(key: &str, value: &str, expected: &'static str) -> ProfileFault {
-    ProfileFault::Bad {
-        key: key.to_owned(),
-        value: value.to_owned(),
-        expected,
-    }
+    ProfileFault::Bad { key: key.to_owned(), value: value.to_owned(), expected }
 }
 
 pub fn read(text: &str) -> Result<Terms, ProfileFault> {
     let mut pairs = FxHashMap::default();
-    for (at, line) in text
-        .lines()
-        .enumerate()
-        .filter(|(_, line)| !line.trim().is_empty())
-    {
-        let (key, value) = line
-            .split_once('=')
-            .ok_or(ProfileFault::NoPair { line: at + 1 })?;
+    for (at, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
+        let (key, value) = line.split_once('=').ok_or(ProfileFault::NoPair { line: at + 1 })?;
         if value.trim() != "null" {
             pairs.insert(key.trim(), value.trim());
         }
@@ -110,10 +85,7 @@
         "pushed" => None,
         other => return Err(bad("membershipMode", other, "pushed or on_request")),
     };
-    let come_back = pairs
-        .flag("caps.retryAfter")?
-        .then(|| pairs.span("caps.maxRetryAfterMs"))
-        .transpose()?;
+    let come_back = pairs.flag("caps.retryAfter")?.then(|| pairs.span("caps.maxRetryAfterMs")).transpose()?;
     Ok(Terms {
         traffic,
         zone: Zone(pairs.parse("myZone", "a whole number")?),
@@ -147,10 +119,7 @@
                 "cell" => Scope::Cell,
                 other => return Err(bad(&key("group"), other, "all, zone or cell")),
             };
-            Effect::Referenced {
-                scope,
-                window: pairs.span(&key("windowMs"))?,
-            }
+            Effect::Referenced { scope, window: pairs.span(&key("windowMs"))? }
         }
         other => return Err(bad(&key("effect"), other, "retryable, dedup or fragile")),
     };
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -19,62 +19,23 @@
     #[error("cannot use the wire: {0}")]
     Io(#[from] io::Error),
     #[error("input ended inside a frame, after {got} of {wanted} bytes of its {part}")]
-    Truncated {
-        part: &'static str,
-        got: usize,
-        wanted: usize,
-    },
+    Truncated { part: &'static str, got: usize, wanted: usize },
     #[error("batch {batch}: {records} records need {needed} bytes, the header says {length}")]
-    Length {
-        batch: u32,
-        records: u32,
-        needed: u64,
-        length: u32,
-    },
+    Length { batch: u32, records: u32, needed: u64, length: u32 },
     #[error("batch {batch}: the clock {clock} is no usable time")]
     Clock { batch: u32, clock: f64 },
     #[error("batch {batch}, record {record}, byte {byte}: unknown {what} {code}")]
-    Code {
-        batch: u32,
-        record: usize,
-        byte: usize,
-        what: &'static str,
-        code: u64,
-    },
+    Code { batch: u32, record: usize, byte: usize, what: &'static str, code: u64 },
     #[error("batch {batch}, record {record}, byte {byte}: {what} reaches past the frame's tail")]
-    Tail {
-        batch: u32,
-        record: usize,
-        byte: usize,
-        what: &'static str,
-    },
+    Tail { batch: u32, record: usize, byte: usize, what: &'static str },
     #[error("batch {batch}, record {record}, byte {byte}: {value} is no usable {what}")]
-    Value {
-        batch: u32,
-        record: usize,
-        byte: usize,
-        what: &'static str,
-        value: f64,
-    },
+    Value { batch: u32, record: usize, byte: usize, what: &'static str, value: f64 },
     #[error("batch {batch}, record {record}: instance {instance} was never started")]
-    NeverStarted {
-        batch: u32,
-        record: usize,
-        instance: u32,
-    },
+    NeverStarted { batch: u32, record: usize, instance: u32 },
     #[error("batch {batch}, record {record}: instance {instance}: {fault}")]
-    Profile {
-        batch: u32,
-        record: usize,
-        instance: u32,
-        fault: ProfileFault,
-    },
+    Profile { batch: u32, record: usize, instance: u32, fault: ProfileFault },
     #[error("batch {batch}, record {record}: the settings of instance {instance} are not UTF-8")]
-    Text {
-        batch: u32,
-        record: usize,
-        instance: u32,
-    },
+    Text { batch: u32, record: usize, instance: u32 },
 }
 
 pub struct Frame {
@@ -93,42 +54,24 @@
         0 => return Ok(None),
         HEADER => {}
         got => {
-            return Err(Fault::Truncated {
-                part: "header",
-                got,
-                wanted: HEADER,
-            });
+            return Err(Fault::Truncated { part: "header", got, wanted: HEADER });
         }
     }
     let word = |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
     let (batch, length, records) = (word(0), word(4), word(8));
-    let clock = f64::from_be_bytes([
-        head[12], head[13], head[14], head[15], head[16], head[17], head[18], head[19],
-    ]);
+    let clock =
+        f64::from_be_bytes([head[12], head[13], head[14], head[15], head[16], head[17], head[18], head[19]]);
     let needed = u64::from(records) * EVENT as u64;
     if needed > u64::from(length) {
-        return Err(Fault::Length {
-            batch,
-            records,
-            needed,
-            length,
-        });
+        return Err(Fault::Length { batch, records, needed, length });
     }
     let now = time(clock).ok_or(Fault::Clock { batch, clock })?;
     body.clear();
     let got = input.by_ref().take(u64::from(length)).read_to_end(body)?;
     if got < length as usize {
-        return Err(Fault::Truncated {
-            part: "body",
-            got,
-            wanted: length as usize,
-        });
-    }
-    Ok(Some(Frame {
-        batch,
-        records: records as usize,
-        now,
-    }))
+        return Err(Fault::Truncated { part: "body", got, wanted: length as usize });
+    }
+    Ok(Some(Frame { batch, records: records as usize, now }))
 }
 
 fn fill(input: &mut impl Read, buffer: &mut [u8]) -> io::Result<usize> {
@@ -196,23 +139,11 @@
 
     fn code(&self, at: usize, what: &'static str) -> Fault {
         let code = u64::from(self.u8(at));
-        Fault::Code {
-            batch: self.batch,
-            record: self.number,
-            byte: self.byte(at),
-            what,
-            code,
-        }
+        Fault::Code { batch: self.batch, record: self.number, byte: self.byte(at), what, code }
     }
 
     fn value(&self, at: usize, what: &'static str, value: f64) -> Fault {
-        Fault::Value {
-            batch: self.batch,
-            record: self.number,
-            byte: self.byte(at),
-            what,
-            value,
-        }
+        Fault::Value { batch: self.batch, record: self.number, byte: self.byte(at), what, value }
     }
 
     fn time(&self, at: usize) -> Result<Time, Fault> {
@@ -222,9 +153,7 @@
 
     fn span(&self, at: usize) -> Result<Span, Fault> {
         let ms = self.f64(at);
-        time(ms)
-            .map(|t| t.since(Time(0)))
-            .ok_or_else(|| self.value(at, "duration", ms))
+        time(ms).map(|t| t.since(Time(0))).ok_or_else(|| self.value(at, "duration", ms))
     }
 
     fn load(&self, at: usize, value: f64, per_second: f64) -> Result<f64, Fault> {
@@ -292,13 +221,7 @@
                 other => {
                     let (batch, record, byte) = (self.batch, self.number, self.byte(10));
                     let code = u64::from(other);
-                    return Err(Fault::Code {
-                        batch,
-                        record,
-                        byte,
-                        what: "host condition",
-                        code,
-                    });
+                    return Err(Fault::Code { batch, record, byte, what: "host condition", code });
                 }
             };
             let up = f64::from_be_bytes(std::array::from_fn(|i| line[17 + i]));
@@ -337,16 +260,7 @@
         reply.extend_from_slice(&frame.batch.to_be_bytes());
         reply.extend_from_slice(&[0; 8]);
         for (number, bytes) in records.chunks_exact(EVENT).enumerate() {
-            self.event(
-                &Record {
-                    bytes,
-                    tail,
-                    batch: frame.batch,
-                    number,
-                    now: frame.now,
-                },
-                reply,
-            )?;
+            self.event(&Record { bytes, tail, batch: frame.batch, number, now: frame.now }, reply)?;
         }
         let length = (reply.len() - 12) as u32;
         reply[4..8].copy_from_slice(&(length / ACTION as u32).to_be_bytes());
@@ -363,28 +277,14 @@
         }
         if record.u8(0) == 1 {
             let text = std::str::from_utf8(record.tail(13, 1, "the settings")?);
-            let text = text.map_err(|_| Fault::Text {
-                batch,
-                record: number,
-                instance,
-            })?;
+            let text = text.map_err(|_| Fault::Text { batch, record: number, instance })?;
             let terms = profile::read(text);
-            let terms = terms.map_err(|fault| Fault::Profile {
-                batch,
-                record: number,
-                instance,
-                fault,
-            })?;
-            self.nodes
-                .insert(instance, Some(Node::start(terms, record.u64(5), now, out)));
+            let terms = terms.map_err(|fault| Fault::Profile { batch, record: number, instance, fault })?;
+            self.nodes.insert(instance, Some(Node::start(terms, record.u64(5), now, out)));
             return Ok(());
         }
         let slot = self.nodes.get_mut(&instance);
-        let slot = slot.ok_or(Fault::NeverStarted {
-            batch,
-            record: number,
-            instance,
-        })?;
+        let slot = slot.ok_or(Fault::NeverStarted { batch, record: number, instance })?;
         if record.u8(0) == 10 {
             *slot = None;
             return Ok(());
@@ -437,7 +337,7 @@
                     2 => News::MessageTime(Span::from_seconds(record.load(20, record.f32(20), 1e3)?)),
                     _ => return Err(record.code(13, "note")),
                 };
-                node.leg_news(now, call, leg(24), news);
+                node.leg_news(now, call, leg(24), news, out);
             }
             _ => unreachable!("codes were checked above"),
         }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,18 +35,9 @@
 }
 
 const CHAIN: [Stage; 3] = [
-    Stage {
-        out: Node::standing,
-        back: Node::go_on,
-    },
-    Stage {
-        out: Node::place,
-        back: Node::learn,
-    },
-    Stage {
-        out: Node::send,
-        back: Node::take_back,
-    },
+    Stage { out: Node::standing, back: Node::go_on },
+    Stage { out: Node::place, back: Node::learn },
+    Stage { out: Node::send, back: Node::take_back },
 ];
 
 #[derive(Clone, Copy)]
@@ -103,6 +94,9 @@
     strain: f64,
     /// It said within the last second that it is past what it can do.
     over: bool,
+    /// What a message took there when it last said so, in seconds.
+    piled: f64,
+    piled_at: Time,
     full_until: Time,
     /// The most of our connections' load that it has coped with, once it has shown where that lies.
     limit: f64,
@@ -315,12 +309,7 @@
     fn may_reject(&self, no: usize) -> bool {
         match (self.effect(no), self.calls[no].ran) {
             (Effect::Repeatable, _) | (_, None) => true,
-            (
-                Effect::Referenced {
-                    scope: Scope::All, ..
-                },
-                _,
-            ) => self.may_repeat(no),
+            (Effect::Referenced { scope: Scope::All, .. }, _) => self.may_repeat(no),
             _ => false,
         }
     }
@@ -335,11 +324,7 @@
     fn leg_time(&self, no: usize) -> Span {
         let (call, left) = (&self.calls[no], self.left(no));
         let target = self.terms.traffic[usize::from(call.call.traffic.0)].setup_target;
-        if call.legs + 1 >= self.terms.max_legs {
-            left
-        } else {
-            left.times(0.5).max(target).min(left)
-        }
+        if call.legs + 1 >= self.terms.max_legs { left } else { left.times(0.5).max(target).min(left) }
     }
 
     fn answer(&mut self, no: usize, port: &mut dyn Port) {
@@ -374,12 +359,7 @@
             return;
         }
         // 40 ms: short against any setup target, and long enough to cost little CPU.
-        let left = self
-            .held
-            .iter()
-            .map(|no| self.left(*no))
-            .min()
-            .unwrap_or_default();
+        let left = self.held.iter().map(|no| self.left(*no)).min().unwrap_or_default();
         let due = self.now + Span::ms(40).min(left);
         if self.held_wake.is_none_or(|wake| due < wake) {
             self.held_wake = Some(due);
@@ -400,11 +380,7 @@
 
     /// The design's score: own connections plus the smoothed load, in connections of the mean load.
     fn score(&self, host: usize) -> f64 {
-        let load = if self.mean_load > 0.0 {
-            self.hosts[host].smoothed / self.mean_load
-        } else {
-            0.0
-        };
+        let load = if self.mean_load > 0.0 { self.hosts[host].smoothed / self.mean_load } else { 0.0 };
         self.hosts[host].legs.len() as f64 + load
     }
 
@@ -413,11 +389,7 @@
     fn burden(&self, host: usize, local: f64) -> f64 {
         let to = &self.hosts[host];
         // 10: a crossing price of a tenth keeps calls at home until hosts there are strained.
-        let away = if to.zone == self.terms.zone {
-            0.0
-        } else {
-            (10.0 * self.terms.crossing_price).min(1.0)
-        };
+        let away = if to.zone == self.terms.zone { 0.0 } else { (10.0 * self.terms.crossing_price).min(1.0) };
         (self.score(host) / self.size(host) + away * local) * (1.0 + to.strain)
     }
 
@@ -536,9 +508,11 @@
             (Ending::Broken, true) => {
                 // Danger: a host that died takes all its connections along, and the list says so seconds later.
                 // Three within a second that are a third of what it held are no chance.
+                let weight = self.weight(host);
                 let to = &mut self.hosts[host];
                 to.broke += 1;
                 to.over = true;
+                to.limit = to.limit.min(weight);
                 let to = &self.hosts[host];
                 if to.broke >= 3 && to.broke as usize * 3 >= to.legs.len() + to.broke as usize {
                     self.set_aside(host);
@@ -573,10 +547,7 @@
         let to = &mut self.hosts[host];
         if to.aside.is_none() {
             to.wait = to.wait.times(2.0).clamp(Span::ms(1000), Span::ms(8000));
-            to.aside = Some(Aside {
-                next_probe: self.now + to.wait.times(spread),
-                answers: 0,
-            });
+            to.aside = Some(Aside { next_probe: self.now + to.wait.times(spread), answers: 0 });
             self.doubt();
         }
     }
@@ -584,9 +555,8 @@
     /// Danger: when most hosts look bad it is more likely the node's own view, and the rest would be crushed.
     fn doubt(&mut self) {
         let ready = self.hosts.iter().filter(|to| to.condition == Condition::Ready);
-        let (all, aside) = ready.fold((0, 0), |(all, aside), to| {
-            (all + 1, aside + usize::from(to.aside.is_some()))
-        });
+        let (all, aside) =
+            ready.fold((0, 0), |(all, aside), to| (all + 1, aside + usize::from(to.aside.is_some())));
         self.doubts_itself = aside * 2 > all;
     }
 
@@ -635,7 +605,7 @@
         }
         self.fill_budgets(elapsed);
         self.probe_hosts(port);
-        self.relieve(port);
+        self.relieve();
         if self.seconds.is_multiple_of(5) {
             self.move_one(port);
         }
@@ -644,7 +614,7 @@
 
     /// Danger: a host past what it can do serves nobody in time, drops connections, and these come back as
     /// more work still. It takes no more than it coped with, and what it has above that leaves at once.
-    fn relieve(&mut self, port: &mut dyn Port) {
+    fn relieve(&mut self) {
         let mut sums = (0.0, 0.0);
         for host in 0..self.hosts.len() {
             if self.hosts[host].condition == Condition::Ready && self.hosts[host].zone == self.terms.zone {
@@ -653,23 +623,43 @@
         }
         // Danger: when the others have shown their limits, all would go to the one host that has not.
         // Half as much again as the mean is what hosts of one size differ by in what they can do.
-        self.crowded = if sums.1 > 0.0 {
-            1.5 * sums.0 / sums.1
-        } else {
-            f64::INFINITY
-        };
-        for host in 0..self.hosts.len() {
-            let weight = self.weight(host);
-            let to = &mut self.hosts[host];
+        self.crowded = if sums.1 > 0.0 { 1.5 * sums.0 / sums.1 } else { f64::INFINITY };
+        for to in &mut self.hosts {
             if !std::mem::take(&mut to.over) {
                 to.limit *= 1.02;
-                continue;
             }
-            to.limit = to.limit.min(weight * 0.9);
-            if let Some(no) = self.random_open(host) {
-                self.calls[no].leaving = true;
-                port.move_away(self.calls[no].call.id);
+        }
+    }
+
+    /// What a host's own word on its messages asks for: when their time grows by so much a second, that share
+    /// of its load is too much, and what has piled up is to be gone in three seconds. Every node hears the
+    /// same and takes the same share of what it has there.
+    fn crowded_host(&mut self, host: usize, took: Span, port: &mut dyn Port) {
+        let targets = self.terms.traffic.iter().filter_map(|traffic| traffic.message_target);
+        let target = targets.min().unwrap_or(Span::ms(1000)).seconds().max(1e-3);
+        let (took, weight) = (took.seconds(), self.weight(host));
+        let to = &mut self.hosts[host];
+        to.strain = to.strain.max((took / target).min(4.0));
+        let since = self.now.since(to.piled_at).seconds();
+        let before = if since < 1.5 { to.piled } else { 0.0 };
+        (to.piled, to.piled_at) = (took, self.now);
+        // From half the target on, the share of messages that miss it grows steeply.
+        if took < 0.5 * target {
+            return;
+        }
+        let share = ((took - before) / since.clamp(0.5, 1.0) + took / 3.0).clamp(0.0, 0.5);
+        to.over = true;
+        to.limit = to.limit.min(weight * (1.0 - share));
+        let mut above = weight * share;
+        while above > 0.0 {
+            let Some(no) = self.random_open(host) else { break };
+            let moved = self.calls[no].load.map_or(1.0, |load| load / self.mean_load.max(1e-9));
+            above -= moved;
+            if above < -0.5 * moved {
+                break;
             }
+            self.calls[no].leaving = true;
+            port.move_away(self.calls[no].call.id);
         }
     }
 
@@ -816,16 +806,7 @@
             return;
         };
         let was_set_up = self.calls[no].set_up;
-        self.pass_back(
-            no,
-            Ended {
-                ending,
-                final_answer,
-                host,
-                was_set_up,
-            },
-            port,
-        );
+        self.pass_back(no, Ended { ending, final_answer, host, was_set_up }, port);
         self.wake_held(port);
     }
 
@@ -844,7 +825,7 @@
         }
     }
 
-    pub fn leg_news(&mut self, now: Time, call: CallId, leg: LegNo, news: News) {
+    pub fn leg_news(&mut self, now: Time, call: CallId, leg: LegNo, news: News, port: &mut dyn Port) {
         self.now = now;
         let Some((no, host)) = self.leg_out(call, leg) else {
             return;
@@ -855,19 +836,7 @@
                 self.calls[no].load = Some(load);
                 self.count_load(no, host, 1.0);
             }
-            News::MessageTime(took) => {
-                let targets = self
-                    .terms
-                    .traffic
-                    .iter()
-                    .filter_map(|traffic| traffic.message_target);
-                let target = targets.min().unwrap_or(Span::ms(1000)).seconds().max(1e-3);
-                let to = &mut self.hosts[host];
-                let strain = took.seconds() / target;
-                to.strain = to.strain.max(strain.min(4.0));
-                // From half the target on, the share of messages that miss it grows steeply.
-                to.over |= strain > 0.5;
-            }
+            News::MessageTime(took) => self.crowded_host(host, took, port),
         }
     }
 
@@ -969,6 +938,8 @@
             trial: 0,
             strain: 0.0,
             over: false,
+            piled: 0.0,
+            piled_at: Time(0),
             full_until: self.now,
             limit: f64::INFINITY,
             broke: 0,
@@ -986,9 +957,7 @@
             return;
         };
         let longest = ask_within.times(0.3);
-        let wait = Span::ms(250)
-            .times(f64::from(1u32 << self.refusals.min(6)))
-            .min(longest);
+        let wait = Span::ms(250).times(f64::from(1u32 << self.refusals.min(6))).min(longest);
         self.ask_at = now + wait.times(0.5 + 0.5 * self.chance());
         port.wake_at(self.ask_at, ASK);
     }
