A host that turns calls away rests longer each time

Cause: one slow host drew over 1,500 legs in a tay deploy, each turned away as full, since its count stayed lowest.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -98,6 +98,7 @@
     piled: f64,
     piled_at: Time,
     full_until: Time,
+    full_rest: Span,
     /// The most of our connections' load that it has coped with, once it has shown where that lies.
     limit: f64,
     broke: u32,
@@ -521,7 +522,15 @@
             (Ending::Error | Ending::TimedOut | Ending::Unreachable | Ending::Broken, false) => {
                 self.judge(host, true)
             }
-            (Ending::Full, _) => self.hosts[host].full_until = self.now + Span::ms(200),
+            (Ending::Full, _) => {
+                // Danger: a host that turns calls away at once empties, scores low and draws every call.
+                let spread = 0.75 + 0.5 * self.chance();
+                let to = &mut self.hosts[host];
+                if to.full_until <= self.now {
+                    to.full_rest = to.full_rest.times(2.0).clamp(Span::ms(200), Span::ms(8000));
+                    to.full_until = self.now + to.full_rest.times(spread);
+                }
+            }
             _ => {}
         }
         Back::Pass
@@ -782,6 +791,7 @@
         if !self.calls[no].set_up {
             self.calls[no].set_up = true;
             self.hosts[host].setting_up -= 1;
+            self.hosts[host].full_rest = Span::ZERO;
             self.judge(host, false);
         }
     }
@@ -941,6 +951,7 @@
             piled: 0.0,
             piled_at: Time(0),
             full_until: self.now,
+            full_rest: Span::ZERO,
             limit: f64::INFINITY,
             broke: 0,
             budget: 0.0,
