--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -191,7 +191,15 @@
     }
 
     /// A call; its fields lie at other places for new and for open connections.
-    fn call(&self, lane: usize, guard: usize, marks: usize, team: usize, org: usize) -> Result<Call, Fault> {
+    fn call(
+        &self,
+        lane: usize,
+        guard: usize,
+        marks: usize,
+        team: usize,
+        org: usize,
+        subject: usize,
+    ) -> Result<Call, Fault> {
         let marked = self.u16(marks);
         let expected = team + 8 + if org > team { 4 } else { 0 };
         let load = match marked & 1 != 0 {
@@ -202,6 +210,7 @@
             id: CallId(self.u64(5)),
             traffic: TrafficId(self.u8(lane)),
             tenant: TenantId(self.u32(org)),
+            subject: Some(SubjectId(self.u64(subject))).filter(|subject| subject.0 != 0),
             group: Some(GroupId(self.u64(team))).filter(|group| group.0 != 0),
             guard: self.time(guard)?,
             load,
@@ -307,14 +316,14 @@
                 node.list_told(now, extent, &self.lines, out);
             }
             3 => {
-                let call = record.call(25, 26, 34, 36, 21)?;
+                let call = record.call(25, 26, 34, 36, 21, 13)?;
                 if !node.knows_traffic(call.traffic) {
                     return Err(record.code(25, "traffic type"));
                 }
                 node.call_taken(now, call, out);
             }
             11 => {
-                let call = record.call(57, 23, 13, 31, 39)?;
+                let call = record.call(57, 23, 13, 31, 39, 15)?;
                 if !node.knows_traffic(call.traffic) {
                     return Err(record.code(57, "traffic type"));
                 }
--- a/src/domain.rs
+++ b/src/domain.rs
@@ -81,6 +81,8 @@
     TrafficId(u8);
     /// Index of a customer with a share of the fleet.
     TenantId(u32);
+    /// What a call concerns; a client that comes again brings the same.
+    SubjectId(u64);
     /// Connections of one group share work on a host.
     GroupId(u64);
     /// Index of a node of the same tier.
@@ -166,6 +168,7 @@
     pub id: CallId,
     pub traffic: TrafficId,
     pub tenant: TenantId,
+    pub subject: Option<SubjectId>,
     pub group: Option<GroupId>,
     pub guard: Time,
     /// Expected load in seconds of work a second.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -121,6 +121,8 @@
     told_load: f64,
     told: u32,
     mean_load: f64,
+    /// Loads that connections had when they ended, of this half minute and the one before.
+    remembered: [FxHashMap<SubjectId, f64>; 2],
     arrivals: u32,
     arrival_rate: f64,
     seconds: u64,
@@ -158,6 +160,7 @@
             told_load: 0.0,
             told: 0,
             mean_load: 0.0,
+            remembered: Default::default(),
             arrivals: 0,
             arrival_rate: 0.0,
             seconds: 0,
@@ -223,7 +226,7 @@
                 continue;
             }
             let failed = self.calls[no].failed_at.contains(&host);
-            let cost = (failed, self.burden(host, local) + self.group_cost(no, host));
+            let cost = (failed, self.burden(host, local) + self.added(no, host));
             match best {
                 Some((least, _)) if cost > least => {}
                 Some((least, _)) if cost == least => {
@@ -342,6 +345,9 @@
 
     fn drop_call(&mut self, no: usize) {
         let call = self.calls.remove(no);
+        if let (Some(subject), Some(load)) = (call.call.subject, call.load) {
+            self.remembered[0].insert(subject, load);
+        }
         self.call_no.remove(&call.call.id);
         if call.held {
             self.held.retain(|held| *held != no);
@@ -409,10 +415,20 @@
         if size > 0.0 { score / size } else { 0.0 }
     }
 
-    fn group_cost(&mut self, no: usize, host: usize) -> f64 {
-        let group = self.calls[no].call.group;
-        match group {
-            Some(group) if *self.group_on(group, host) == 0 => 5.0 / self.size(host),
+    /// What the call itself adds: its load where that is known, and its group where the host has none of it.
+    fn added(&mut self, no: usize, host: usize) -> f64 {
+        let mut added = self.expected(no);
+        if let Some(group) = self.calls[no].call.group {
+            added += if *self.group_on(group, host) == 0 { 5.0 } else { 0.0 };
+        }
+        added / self.size(host)
+    }
+
+    /// The load to expect, in connections of the mean load.
+    fn expected(&self, no: usize) -> f64 {
+        match self.calls[no].load {
+            Some(load) if self.mean_load > 0.0 => load / self.mean_load,
+            None if self.mean_load > 0.0 => 1.0,
             _ => 0.0,
         }
     }
@@ -613,6 +629,10 @@
             to.strain *= 0.87;
         }
         self.fill_budgets(elapsed);
+        if self.seconds.is_multiple_of(30) {
+            self.remembered.swap(0, 1);
+            self.remembered[0].clear();
+        }
         self.probe_hosts(port);
         self.relieve();
         if self.seconds.is_multiple_of(5) {
@@ -758,9 +778,13 @@
         self.wake_held(port);
     }
 
+    /// Danger: a heavy connection that was sent away comes back looking like any other. What it asked for is
+    /// remembered for the client's return.
     fn take_in(&mut self, call: Call) -> usize {
+        let known = |subject| self.remembered.iter().find_map(|loads| loads.get(&subject).copied());
+        let load = call.load.or_else(|| call.subject.and_then(known));
         let no = self.calls.insert(InHand {
-            load: call.load,
+            load,
             call,
             legs: 0,
             out: None,
