--- a/src/rules.rs
+++ b/src/rules.rs
@@ -358,27 +358,29 @@
     fn hold(&mut self, no: usize, port: &mut dyn Port) {
         self.calls[no].held = true;
         self.held.push(no);
-        self.wake_held(port);
-    }
-
-    fn wake_held(&mut self, port: &mut dyn Port) {
-        if self.held.is_empty() {
-            return;
-        }
         // 40 ms: short against any setup target, and long enough to cost little CPU.
-        let left = self.held.iter().map(|no| self.left(*no)).min().unwrap_or_default();
-        let due = self.now + Span::ms(40).min(left);
+        let due = self.now + Span::ms(40).min(self.left(no));
         if self.held_wake.is_none_or(|wake| due < wake) {
             self.held_wake = Some(due);
             port.wake_at(due, HELD);
         }
     }
 
+    /// Danger: with many calls waiting, asking every host for each of them costs more CPU than a node has.
+    /// Once one that may go anywhere finds no host, the others wait on.
     fn retry_held(&mut self, port: &mut dyn Port) {
         let mut held = std::mem::replace(&mut self.held, std::mem::take(&mut self.held_spare));
+        let mut closed = false;
         for no in held.drain(..) {
             self.calls[no].held = false;
+            if closed && self.left(no) > Span::ZERO {
+                self.hold(no, port);
+                continue;
+            }
+            let anywhere = self.calls[no].ran.is_none();
+            let before = self.held.len();
             self.pass_on(no, port);
+            closed |= anywhere && self.held.len() > before;
         }
         self.held_spare = held;
     }
@@ -775,7 +777,6 @@
         self.arrivals += u32::from(!call.returning && !call.mid_flow);
         let no = self.take_in(call);
         self.pass_on(no, port);
-        self.wake_held(port);
     }
 
     /// Danger: a heavy connection that was sent away comes back looking like any other. What it asked for is
@@ -853,7 +854,6 @@
         };
         let was_set_up = self.calls[no].set_up;
         self.pass_back(no, Ended { ending, final_answer, host, was_set_up }, port);
-        self.wake_held(port);
     }
 
     /// The client left: nothing is owed, and the leg that is still out need not go on.
@@ -902,7 +902,6 @@
             }
             _ => {}
         }
-        self.wake_held(port);
     }
 
     pub fn probe_ended(&mut self, now: Time, host: HostId, ending: Ending, _: &mut dyn Port) {
@@ -953,7 +952,6 @@
         }
         self.doubt();
         self.retry_held(port);
-        self.wake_held(port);
     }
 
     /// An unheard-from host's load starts at the others' mean.
