Alarms for waiting calls lie at least a tick ahead

Cause: with calls about to run out, overtaken alarms of the same tick each retried all waiting calls and set more alarms.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -359,7 +359,7 @@
         self.calls[no].held = true;
         self.held.push(no);
         // 40 ms: short against any setup target, and long enough to cost little CPU.
-        let due = self.now + Span::ms(40).min(self.left(no));
+        let due = self.now + self.left(no).clamp(self.terms.tick, Span::ms(40).max(self.terms.tick));
         if self.held_wake.is_none_or(|wake| due < wake) {
             self.held_wake = Some(due);
             port.wake_at(due, HELD);
@@ -892,7 +892,7 @@
             SECOND => self.every_second(port),
             // Danger: an alarm that an earlier one has overtaken would start a second chain of alarms, and
             // chains that multiply stop the node.
-            HELD if self.held_wake.is_some_and(|wake| now + self.terms.tick >= wake) => {
+            HELD if self.held_wake.is_some_and(|wake| now + Span(1000) >= wake) => {
                 self.held_wake = None;
                 self.retry_held(port);
             }
