--- /dev/null
+++ b/src/book.rs
@@ -0,0 +1,114 @@
+//! What a node has in hand: the calls and their legs, and what it knows of each host. No decision is made here.
+
+use crate::domain::*;
+
+pub(crate) struct InHand {
+    pub call: Call,
+    pub legs: u16,
+    /// The host of the leg that is out, and the leg's place among that host's.
+    pub out: Option<(usize, usize)>,
+    pub chosen: usize,
+    pub set_up: bool,
+    pub answered: bool,
+    pub held: bool,
+    pub leaving: bool,
+    pub load: Option<f64>,
+    /// The first leg that may have run: its host and when it was sent.
+    pub ran: Option<(usize, Time)>,
+    pub sent: Time,
+    pub failed_at: Vec<usize>,
+}
+
+pub(crate) struct Aside {
+    pub next_probe: Time,
+    pub answers: u32,
+}
+
+pub(crate) struct Host {
+    pub id: HostId,
+    pub zone: Zone,
+    pub cell: Cell,
+    pub condition: Condition,
+    pub share: f64,
+    pub up_since: Option<Time>,
+    /// The calls with a leg here, in no order that means anything.
+    pub legs: Vec<usize>,
+    pub setting_up: u32,
+    pub told_load: f64,
+    pub told: u32,
+    pub work: f64,
+    pub work_at: Time,
+    pub work_before: f64,
+    pub smoothed: f64,
+    pub trouble: f64,
+    pub aside: Option<Aside>,
+    pub wait: Span,
+    pub trial: u32,
+    pub strain: f64,
+    /// It said within the last second that it is past what it can do.
+    pub over: bool,
+    /// What a message took there when it last said so, in seconds.
+    pub piled: f64,
+    pub piled_at: Time,
+    pub full_until: Time,
+    pub full_rest: Span,
+    /// The most of our connections' load that it has coped with, once it has shown where that lies.
+    pub limit: f64,
+    pub broke: u32,
+    pub budget: f64,
+    pub budget_at: Time,
+}
+
+impl InHand {
+    pub fn new(call: Call, load: Option<f64>, now: Time) -> InHand {
+        InHand {
+            load,
+            call,
+            legs: 0,
+            out: None,
+            chosen: 0,
+            set_up: false,
+            answered: false,
+            held: false,
+            leaving: false,
+            ran: None,
+            sent: now,
+            failed_at: Vec::new(),
+        }
+    }
+}
+
+impl Host {
+    pub fn new(line: &Listed, smoothed: f64, now: Time) -> Host {
+        Host {
+            id: line.host,
+            zone: line.zone,
+            cell: line.cell,
+            condition: line.condition,
+            share: line.share,
+            up_since: line.up_since,
+            legs: Vec::new(),
+            setting_up: 0,
+            told_load: 0.0,
+            told: 0,
+            work: 0.0,
+            work_at: now,
+            work_before: 0.0,
+            smoothed,
+            trouble: 0.0,
+            aside: None,
+            wait: Span::ZERO,
+            trial: 0,
+            strain: 0.0,
+            over: false,
+            piled: 0.0,
+            piled_at: Time(0),
+            full_until: now,
+            full_rest: Span::ZERO,
+            limit: f64::INFINITY,
+            broke: 0,
+            budget: 0.0,
+            budget_at: now,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`rules::Node`] makes every decision. [`domain`] holds the values it speaks in, [`port`] the interface
 //! between the decisions and whatever carries them out.
 
+mod book;
 pub mod domain;
 pub mod port;
 pub mod rules;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,6 +1,7 @@
 //! All decisions of a node. Start one with [`Node::start`], then tell it what happens by its other methods,
 //! in the order in which it happens; it answers on the [`Port`] handed in. The values are defined in
-//! `domain.rs`, the port in `port.rs`. docs/design.md says where the mechanism comes from.
+//! `domain.rs`, the port in `port.rs`, what a node has in hand in `book.rs`. docs/design.md says where the
+//! mechanism comes from.
 //!
 //! A call passes the stages of [`CHAIN`]: whether it may still be tried, where it goes, and the one place
 //! that sends legs and checks each. The end of a leg passes them in reverse.
@@ -9,6 +10,7 @@
 use rustc_hash::FxHashMap;
 use slab::Slab;
 
+use crate::book::{Aside, Host, InHand};
 use crate::domain::*;
 use crate::port::Port;
 
@@ -49,63 +51,6 @@
     was_set_up: bool,
 }
 
-struct InHand {
-    call: Call,
-    legs: u16,
-    /// The host of the leg that is out, and the leg's place among that host's.
-    out: Option<(usize, usize)>,
-    chosen: usize,
-    set_up: bool,
-    answered: bool,
-    held: bool,
-    leaving: bool,
-    load: Option<f64>,
-    /// The first leg that may have run: its host and when it was sent.
-    ran: Option<(usize, Time)>,
-    sent: Time,
-    failed_at: Vec<usize>,
-}
-
-struct Aside {
-    next_probe: Time,
-    answers: u32,
-}
-
-struct Host {
-    id: HostId,
-    zone: Zone,
-    cell: Cell,
-    condition: Condition,
-    share: f64,
-    up_since: Option<Time>,
-    /// The calls with a leg here, in no order that means anything.
-    legs: Vec<usize>,
-    setting_up: u32,
-    told_load: f64,
-    told: u32,
-    work: f64,
-    work_at: Time,
-    work_before: f64,
-    smoothed: f64,
-    trouble: f64,
-    aside: Option<Aside>,
-    wait: Span,
-    trial: u32,
-    strain: f64,
-    /// It said within the last second that it is past what it can do.
-    over: bool,
-    /// What a message took there when it last said so, in seconds.
-    piled: f64,
-    piled_at: Time,
-    full_until: Time,
-    full_rest: Span,
-    /// The most of our connections' load that it has coped with, once it has shown where that lies.
-    limit: f64,
-    broke: u32,
-    budget: f64,
-    budget_at: Time,
-}
-
 pub struct Node {
     terms: Terms,
     rng: WyRand,
@@ -648,7 +593,9 @@
     fn relieve(&mut self) {
         let mut sums = (0.0, 0.0);
         for host in 0..self.hosts.len() {
-            if self.hosts[host].condition == Condition::Ready && self.hosts[host].zone == self.terms.zone {
+            let to = &self.hosts[host];
+            let usable = to.condition == Condition::Ready && to.aside.is_none() && to.full_rest == Span::ZERO;
+            if usable && to.zone == self.terms.zone {
                 sums = (sums.0 + self.weight(host), sums.1 + self.size(host));
             }
         }
@@ -784,20 +731,7 @@
     fn take_in(&mut self, call: Call) -> usize {
         let known = |subject| self.remembered.iter().find_map(|loads| loads.get(&subject).copied());
         let load = call.load.or_else(|| call.subject.and_then(known));
-        let no = self.calls.insert(InHand {
-            load,
-            call,
-            legs: 0,
-            out: None,
-            chosen: 0,
-            set_up: false,
-            answered: false,
-            held: false,
-            leaving: false,
-            ran: None,
-            sent: self.now,
-            failed_at: Vec::new(),
-        });
+        let no = self.calls.insert(InHand::new(call, load, self.now));
         self.call_no.insert(call.id, no);
         no
     }
@@ -961,36 +895,7 @@
             n => self.hosts.iter().map(|to| to.smoothed).sum::<f64>() / n as f64,
         };
         self.host_no.insert(line.host, self.hosts.len());
-        self.hosts.push(Host {
-            id: line.host,
-            zone: line.zone,
-            cell: line.cell,
-            condition: line.condition,
-            share: line.share,
-            up_since: line.up_since,
-            legs: Vec::new(),
-            setting_up: 0,
-            told_load: 0.0,
-            told: 0,
-            work: 0.0,
-            work_at: self.now,
-            work_before: 0.0,
-            smoothed: mean,
-            trouble: 0.0,
-            aside: None,
-            wait: Span::ZERO,
-            trial: 0,
-            strain: 0.0,
-            over: false,
-            piled: 0.0,
-            piled_at: Time(0),
-            full_until: self.now,
-            full_rest: Span::ZERO,
-            limit: f64::INFINITY,
-            broke: 0,
-            budget: 0.0,
-            budget_at: self.now,
-        });
+        self.hosts.push(Host::new(line, mean, self.now));
     }
 
     /// Danger: nodes that ask again in step keep the list's service crowded. The waits grow and differ.
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,355 @@
+//! Plays the scenarios of `tests/scenarios/`; `tests/scenarios/README.md` describes their notation.
+
+use std::collections::{BTreeMap, HashMap};
+
+use glendeck::domain::*;
+use glendeck::port::Port;
+use glendeck::rules::Node;
+use test_case::test_case;
+
+#[derive(Default)]
+struct Log {
+    new: Vec<(String, Option<Due>)>,
+    names: Vec<String>,
+}
+
+#[derive(Clone)]
+enum Due {
+    Alarm(Time, Token),
+    Leg(CallId, HostId, Span),
+}
+
+impl Log {
+    fn name(&self, host: HostId) -> &str {
+        &self.names[host.0 as usize]
+    }
+}
+
+impl Port for Log {
+    fn send_leg(&mut self, call: CallId, host: HostId, within: Span) {
+        let line = format!("send {} {}", call.0, self.name(host));
+        self.new.push((line, Some(Due::Leg(call, host, within))));
+    }
+    fn reject(&mut self, call: CallId, come_back: Option<Span>) {
+        let wait = if come_back.is_some() { " wait" } else { "" };
+        self.new.push((format!("reject {}{wait}", call.0), None));
+    }
+    fn release(&mut self, call: CallId) {
+        self.new.push((format!("release {}", call.0), None));
+    }
+    fn recall(&mut self, call: CallId, leg: LegNo) {
+        self.new.push((format!("recall {} {}", call.0, leg.0), None));
+    }
+    fn move_away(&mut self, call: CallId) {
+        self.new.push((format!("move {}", call.0), None));
+    }
+    fn probe(&mut self, host: HostId) {
+        self.new.push((format!("probe {}", self.name(host)), None));
+    }
+    fn fetch_list(&mut self) {
+        self.new.push(("fetch".into(), None));
+    }
+    fn follow_list(&mut self) {
+        self.new.push(("follow".into(), None));
+    }
+    fn wake_at(&mut self, time: Time, token: Token) {
+        self.new.push((format!("wake {}", token.0), Some(Due::Alarm(time, token))));
+    }
+}
+
+struct Player {
+    node: Node,
+    now: Time,
+    log: Log,
+    done: Vec<String>,
+    due: BTreeMap<(Time, usize), Due>,
+    set: usize,
+    /// What a host does with a leg: `well`, an ending, or `silent`.
+    ways: HashMap<HostId, String>,
+    /// The legs out: number and host by call.
+    legs: BTreeMap<CallId, (u16, HostId)>,
+    sent: HashMap<CallId, u16>,
+}
+
+fn seconds(text: &str) -> Span {
+    Span::from_seconds(text.parse().unwrap_or_else(|_| panic!("{text:?} is no number of seconds")))
+}
+
+fn ending(text: &str) -> Ending {
+    match text {
+        "completed" => Ending::Completed,
+        "error" => Ending::Error,
+        "full" => Ending::Full,
+        "timeout" => Ending::TimedOut,
+        "unreachable" => Ending::Unreachable,
+        "broken" => Ending::Broken,
+        "recalled" => Ending::Recalled,
+        other => panic!("unknown ending {other:?}"),
+    }
+}
+
+/// The words after the first that look like `name=value`.
+fn options<'a>(words: &[&'a str]) -> HashMap<&'a str, &'a str> {
+    words.iter().filter_map(|word| word.split_once('=')).collect()
+}
+
+fn terms(words: &[&str]) -> Terms {
+    let given = options(words);
+    let number = |key: &str, absent: f64| given.get(key).map_or(absent, |n| n.parse().unwrap());
+    let scope = match given.get("scope") {
+        Some(&"zone") => Scope::Zone,
+        Some(&"cell") => Scope::Cell,
+        _ => Scope::All,
+    };
+    let effect = match given.get("effect") {
+        Some(&"once-only") => Effect::OnceOnly,
+        Some(&"referenced") => {
+            Effect::Referenced { scope, window: Span::from_seconds(number("window", 5.0)) }
+        }
+        _ => Effect::Repeatable,
+    };
+    let setup_target = Span::from_seconds(number("target", 0.8));
+    let message_target = Some(Span::ms(100));
+    Terms {
+        traffic: vec![Traffic { effect, setup_target, message_target }],
+        zone: Zone(0),
+        me: 0,
+        nodes: 1,
+        tick: Span::ms(5),
+        max_legs: number("legs", 4.0) as u16,
+        may_probe: true,
+        may_recall: true,
+        come_back: given.get("come-back").map(|s| seconds(s)),
+        ask_within: given.get("ask-within").map(|s| seconds(s)),
+        warming: Warming { from: 0.2, after: Span::ms(20_000), multiple: 4.0, window: Span::ms(1000) },
+        crossing_price: number("crossing", 0.0),
+    }
+}
+
+impl Player {
+    fn host(&mut self, name: &str) -> HostId {
+        let known = self.log.names.iter().position(|known| known == name);
+        let at = known.unwrap_or_else(|| {
+            self.log.names.push(name.to_owned());
+            self.log.names.len() - 1
+        });
+        HostId(at as u64)
+    }
+
+    /// Books what the node did, and lets hosts answer the legs that reached them.
+    fn settle(&mut self) {
+        while !self.log.new.is_empty() {
+            let mut answers = Vec::new();
+            for (line, due) in std::mem::take(&mut self.log.new) {
+                match due {
+                    Some(Due::Leg(call, host, within)) => {
+                        let sent = self.sent.entry(call).or_default();
+                        assert!(self.legs.insert(call, (*sent, host)).is_none(), "two legs out: {line}");
+                        *sent += 1;
+                        let way = self.ways.get(&host).map_or("well", String::as_str).to_owned();
+                        match way.as_str() {
+                            "silent" => self.set_due(self.now + within, Due::Leg(call, host, within)),
+                            way => answers.push((call, way.to_owned())),
+                        }
+                    }
+                    Some(Due::Alarm(time, token)) => self.set_due(time, Due::Alarm(time, token)),
+                    None => {}
+                }
+                self.done.push(line);
+            }
+            for (call, way) in answers {
+                if way == "well" {
+                    let (leg, _) = self.legs[&call];
+                    self.node.leg_set_up(self.now, call, LegNo(leg), Span::ms(20));
+                } else {
+                    self.end(call, ending(&way), false);
+                }
+            }
+        }
+    }
+
+    fn set_due(&mut self, time: Time, due: Due) {
+        self.set += 1;
+        self.due.insert((time.max(self.now + Span(1)), self.set), due);
+    }
+
+    fn end(&mut self, call: CallId, ending: Ending, last: bool) {
+        let Some((leg, _)) = self.legs.remove(&call) else { return };
+        self.node.leg_ended(self.now, call, LegNo(leg), ending, last, &mut self.log);
+    }
+
+    fn run_to(&mut self, time: Time) {
+        while let Some((&(at, set), _)) = self.due.range(..=(time, usize::MAX)).next() {
+            let due = self.due.remove(&(at, set)).unwrap();
+            self.now = at;
+            match due {
+                Due::Alarm(_, token) => self.node.woken(at, token, &mut self.log),
+                Due::Leg(call, ..) => self.end(call, Ending::TimedOut, false),
+            }
+            self.settle();
+        }
+        self.now = time;
+    }
+
+    fn calls(&self, word: &str) -> Vec<CallId> {
+        if let Some(name) = word.strip_prefix('@') {
+            let at = |(call, (_, host)): (&CallId, &(u16, HostId))| {
+                (self.log.name(*host) == name).then_some(*call)
+            };
+            return self.legs.iter().filter_map(at).collect();
+        }
+        let (from, to) = word.split_once("..").unwrap_or((word, word));
+        (from.parse().unwrap()..=to.parse().unwrap()).map(CallId).collect()
+    }
+
+    fn call(&self, id: CallId, given: &HashMap<&str, &str>) -> Call {
+        let whole = |key| given.get(key).map(|n: &&str| n.parse().unwrap());
+        Call {
+            id,
+            traffic: TrafficId(0),
+            tenant: TenantId(0),
+            subject: whole("subject").map(SubjectId),
+            group: whole("group").map(GroupId),
+            guard: self.now + given.get("guard").map_or(Span::ms(3200), |s| seconds(s)),
+            load: given.get("load").map(|n| n.parse().unwrap()),
+            returning: given.contains_key("again"),
+            mid_flow: false,
+        }
+    }
+
+    fn line(&mut self, host: &str, condition: Condition, given: &HashMap<&str, &str>) -> Listed {
+        let number = |key: &str, absent: f64| given.get(key).map_or(absent, |n| n.parse().unwrap());
+        Listed {
+            host: self.host(host),
+            zone: Zone(number("zone", 0.0) as u16),
+            cell: Cell(number("cell", 0.0) as u16),
+            condition,
+            share: number("share", 1.0),
+            up_since: given.get("up").map(|s| Time(0) + seconds(s)),
+        }
+    }
+
+    fn count(&self, pattern: &[&str]) -> usize {
+        let fits = |line: &&String| {
+            let mut words = line.split(' ');
+            pattern.iter().all(|want| words.next().is_some_and(|word| *want == "*" || *want == word))
+        };
+        self.done.iter().filter(fits).count()
+    }
+
+    fn play(&mut self, words: &[&str]) {
+        let given = options(words);
+        match words {
+            ["at", time] => self.run_to(Time(0) + seconds(time)),
+            [condition @ ("ready" | "draining" | "gone"), hosts, ..] => {
+                let condition = match *condition {
+                    "ready" => Condition::Ready,
+                    "draining" => Condition::Draining,
+                    _ => Condition::Gone,
+                };
+                let lines: Vec<_> = hosts.split(',').map(|host| self.line(host, condition, &given)).collect();
+                self.node.list_told(self.now, Extent::Changes, &lines, &mut self.log);
+            }
+            ["list", "failed"] => self.node.list_failed(self.now, &mut self.log),
+            ["host", host, way] => {
+                let host = self.host(host);
+                self.ways.insert(host, (*way).to_owned());
+            }
+            ["open", calls, host, ..] => {
+                let host = self.host(host);
+                for id in self.calls(calls) {
+                    self.legs.insert(id, (0, host));
+                    self.sent.insert(id, 1);
+                    self.node.connection_found(self.now, self.call(id, &given), host);
+                }
+            }
+            ["call", calls, ..] => {
+                for id in self.calls(calls) {
+                    self.node.call_taken(self.now, self.call(id, &given), &mut self.log);
+                    self.settle();
+                }
+            }
+            ["end", calls, how, ..] => {
+                for id in self.calls(calls) {
+                    self.end(id, ending(how), words.contains(&"final"));
+                }
+            }
+            ["leave", call] => self.node.call_given_up(self.now, self.calls(call)[0], &mut self.log),
+            ["load", calls, load] => {
+                for id in self.calls(calls) {
+                    let news = News::Load(load.parse().unwrap());
+                    self.node.leg_news(self.now, id, LegNo(self.legs[&id].0), news, &mut self.log);
+                }
+            }
+            ["slow", host, took] => {
+                let id = self.calls(&format!("@{host}"))[0];
+                let news = News::MessageTime(seconds(took));
+                self.node.leg_news(self.now, id, LegNo(self.legs[&id].0), news, &mut self.log);
+            }
+            ["probed", host, how] => {
+                let host = self.host(host);
+                self.node.probe_ended(self.now, host, ending(how), &mut self.log);
+            }
+            ["forget"] => self.done.clear(),
+            ["expect", pattern @ .., "times", least, most] => {
+                let (count, least, most) =
+                    (self.count(pattern), least.parse().unwrap(), most.parse().unwrap());
+                assert!((least..=most).contains(&count), "{count} times {pattern:?} in {:#?}", self.done);
+            }
+            ["expect", pattern @ ..] => {
+                assert!(self.count(pattern) > 0, "no {pattern:?} in {:#?}", self.done)
+            }
+            ["never", pattern @ ..] => assert!(self.count(pattern) == 0, "{pattern:?} in {:#?}", self.done),
+            other => panic!("unknown line {other:?}"),
+        }
+        self.settle();
+    }
+}
+
+#[test_case("placement"; "lowest score, ties, zones, groups and sizes")]
+#[test_case("gap"; "the gap test moves one connection")]
+#[test_case("smoothing"; "told load counts in the score, smoothed")]
+#[test_case("next_leg"; "a failed leg is followed by one elsewhere, within limits")]
+#[test_case("once_only"; "a once-only call never runs twice")]
+#[test_case("referenced"; "a referenced call stays where its repeats are known")]
+#[test_case("waiting"; "calls wait for a host and are answered in time")]
+#[test_case("drain"; "a draining host gets nothing new")]
+#[test_case("cold"; "a cold host is not pushed over")]
+#[test_case("storm"; "returning clients do not swell a cold host's budget")]
+#[test_case("failing"; "a host that fails fast is set aside and comes back by probes")]
+#[test_case("doubt"; "when most hosts look bad the node doubts itself")]
+#[test_case("crash"; "a dead host shows in its broken connections")]
+#[test_case("full"; "a host that turns calls away rests longer each time")]
+#[test_case("crowded"; "a crowded host sheds its heaviest and takes no more")]
+#[test_case("stand_out"; "no host takes far more than the mean")]
+#[test_case("returning"; "the load of a returning client is remembered")]
+#[test_case("alarms"; "alarms for waiting calls do not multiply")]
+#[test_case("list"; "failed list calls are repeated with growing waits")]
+#[test_case("leaving"; "a client that leaves is owed nothing")]
+fn scenario(name: &str) {
+    let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(&path).unwrap();
+    let lines = text.lines().map(|line| line.split('#').next().unwrap_or_default());
+    let lines: Vec<Vec<&str>> = lines.map(|line| line.split_whitespace().collect()).collect();
+    let is_start = |words: &Vec<&str>| words.first() == Some(&"terms");
+    let starts = lines.iter().filter(|words| is_start(words));
+    for (given, part) in starts.zip(lines.split(is_start).skip(1)) {
+        let mut log = Log::default();
+        let node = Node::start(terms(given), 7, Time(0), &mut log);
+        let mut player = Player {
+            node,
+            now: Time(0),
+            log,
+            done: Vec::new(),
+            due: BTreeMap::new(),
+            set: 0,
+            ways: HashMap::new(),
+            legs: BTreeMap::new(),
+            sent: HashMap::new(),
+        };
+        player.settle();
+        for words in part.iter().filter(|words| !words.is_empty()) {
+            player.play(words);
+        }
+    }
+}
