--- a/src/book.rs
+++ b/src/book.rs
@@ -47,6 +47,9 @@
     pub strain: f64,
     /// It said within the last second that it is past what it can do.
     pub over: bool,
+    /// Notes come once a second while it is so; for a little longer it gets nothing new.
+    pub over_until: Time,
+    pub weight_before: f64,
     /// What a message took there when it last said so, in seconds.
     pub piled: f64,
     pub piled_at: Time,
@@ -101,6 +104,8 @@
             trial: 0,
             strain: 0.0,
             over: false,
+            over_until: Time(0),
+            weight_before: 0.0,
             piled: 0.0,
             piled_at: Time(0),
             full_until: now,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -426,7 +426,7 @@
             && (self.doubts_itself || to.aside.is_none())
             && (to.trial == 0 || to.setting_up == 0)
             && self.weight(host) < to.limit.min(self.crowded * self.size(host) + 1.0)
-            && to.full_until <= self.now
+            && to.full_until.max(to.over_until) <= self.now
     }
 
     /// What the host holds for us now, in connections of the mean load.
@@ -472,12 +472,9 @@
             (Ending::Broken, true) => {
                 // Danger: a host that died takes all its connections along, and the list says so seconds later.
                 // Three within a second that are a third of what it held are no chance.
-                let weight = self.weight(host);
+                self.cut_limit(host, self.weight(host));
                 let to = &mut self.hosts[host];
                 to.broke += 1;
-                to.over = true;
-                to.limit = to.limit.min(weight);
-                let to = &self.hosts[host];
                 if to.broke >= 3 && to.broke as usize * 3 >= to.legs.len() + to.broke as usize {
                     self.set_aside(host);
                 }
@@ -602,10 +599,13 @@
         // Danger: when the others have shown their limits, all would go to the one host that has not.
         // Half as much again as the mean is what hosts of one size differ by in what they can do.
         self.crowded = if sums.1 > 0.0 { 1.5 * sums.0 / sums.1 } else { f64::INFINITY };
-        for to in &mut self.hosts {
-            if !std::mem::take(&mut to.over) {
-                to.limit *= 1.02;
+        for host in 0..self.hosts.len() {
+            let (weight, mean) = (self.weight(host), self.crowded * self.size(host));
+            let to = &mut self.hosts[host];
+            if !std::mem::take(&mut to.over) && to.limit.is_finite() {
+                to.limit += 0.02 * to.limit.max(if mean.is_finite() { mean } else { 0.0 });
             }
+            to.weight_before = weight;
         }
     }
 
@@ -625,9 +625,9 @@
         if took < 0.5 * target {
             return;
         }
-        let share = ((took - before) / since.clamp(0.5, 1.0) + took / 3.0).clamp(0.0, 0.5);
-        to.over = true;
-        to.limit = to.limit.min(weight * (1.0 - share));
+        let growth = (took - before) / since.clamp(0.5, 1.0);
+        let share = (growth + took / 3.0).clamp(0.0, 0.5);
+        self.cut_limit(host, weight * (1.0 - growth.max(0.0)));
         let mut above = weight * share;
         while above > 0.0 {
             let Some(no) = self.heaviest_open(host) else { break };
@@ -653,6 +653,15 @@
         Some(heaviest)
     }
 
+    /// Danger: while a host empties, its weight of the moment says nothing of what it can do, and a limit taken
+    /// from it would keep the host idle. A second cuts the limit by three tenths at most.
+    fn cut_limit(&mut self, host: usize, weight: f64) {
+        let to = &mut self.hosts[host];
+        to.limit = to.limit.min(weight.max(0.7 * to.weight_before));
+        to.over = true;
+        to.over_until = self.now + Span::ms(1200);
+    }
+
     fn random_open(&mut self, host: usize) -> Option<usize> {
         let is_open = |no: &&usize| self.calls[**no].set_up && !self.calls[**no].leaving;
         let open = self.hosts[host].legs.iter().filter(is_open).count();
