--- a/crates/simhost/src/profile.rs
+++ b/crates/simhost/src/profile.rs
@@ -127,5 +127,6 @@
         effect,
         setup_target: pairs.span(&key("setupTargetMs"))?,
         message_target: message_target.map(|ms| Span::from_seconds(ms / 1e3)),
+        revenue: pairs.number(&key("revenue"))?,
     })
 }
--- a/src/domain.rs
+++ b/src/domain.rs
@@ -194,6 +194,7 @@
     pub effect: Effect,
     pub setup_target: Span,
     pub message_target: Option<Span>,
+    pub revenue: f64,
 }
 
 /// How a cold host warms up and what pushes it over.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -630,7 +630,7 @@
         self.cut_limit(host, weight * (1.0 - growth.max(0.0)));
         let mut above = weight * share;
         while above > 0.0 {
-            let Some(no) = self.heaviest_open(host) else { break };
+            let Some(no) = self.dearest_open(host) else { break };
             let moved = self.calls[no].load.map_or(1.0, |load| load / self.mean_load.max(1e-9));
             above -= moved;
             if above < -0.5 * moved {
@@ -641,16 +641,21 @@
         }
     }
 
-    /// The open connection that asks for the most, so that few have to leave; any where no load is told.
-    fn heaviest_open(&mut self, host: usize) -> Option<usize> {
-        let mut heaviest = self.random_open(host)?;
+    /// The open connection that asks for the most by its revenue, so that little is lost; any where no load
+    /// is told and all earn alike.
+    fn dearest_open(&mut self, host: usize) -> Option<usize> {
+        let mut dearest = self.random_open(host)?;
+        let cost = |call: &InHand| {
+            let revenue = self.terms.traffic[usize::from(call.call.traffic.0)].revenue;
+            call.load.unwrap_or(self.mean_load).max(1e-9) / revenue.max(1e-9)
+        };
         for no in &self.hosts[host].legs {
             let call = &self.calls[*no];
-            if call.set_up && !call.leaving && call.load > self.calls[heaviest].load {
-                heaviest = *no;
+            if call.set_up && !call.leaving && cost(call) > cost(&self.calls[dearest]) {
+                dearest = *no;
             }
         }
-        Some(heaviest)
+        Some(dearest)
     }
 
     /// Danger: while a host empties, its weight of the moment says nothing of what it can do, and a limit taken
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -111,7 +111,7 @@
     let setup_target = Span::from_seconds(number("target", 0.8));
     let message_target = Some(Span::ms(100));
     Terms {
-        traffic: vec![Traffic { effect, setup_target, message_target }],
+        traffic: vec![Traffic { effect, setup_target, message_target, revenue: 1.0 }],
         zone: Zone(0),
         me: 0,
         nodes: 1,
