Shedding counts a connection's part of its group, also in what a move relieves

Cause: hosts past their powers kept lone members of many groups, each of which costs as much as several connections.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -18,6 +18,9 @@
 const HELD: Token = Token(1);
 const ASK: Token = Token(2);
 
+/// What a host pays once for a group, in connections. What it is nobody tells: tried from 1 to 9.
+const GROUP: f64 = 5.0;
+
 /// What a stage does with a call on its way out.
 enum Step {
     Pass,
@@ -366,7 +369,7 @@
     fn added(&mut self, no: usize, host: usize) -> f64 {
         let mut added = self.expected(no);
         if let Some(group) = self.calls[no].call.group {
-            added += if *self.group_on(group, host) == 0 { 5.0 } else { 0.0 };
+            added += if *self.group_on(group, host) == 0 { GROUP } else { 0.0 };
         }
         added / self.size(host)
     }
@@ -631,7 +634,7 @@
         let mut above = weight * share;
         while above > 0.0 {
             let Some(no) = self.dearest_open(host) else { break };
-            let moved = self.calls[no].load.map_or(1.0, |load| load / self.mean_load.max(1e-9));
+            let (moved, _) = self.cost_on(no, host);
             above -= moved;
             if above < -0.5 * moved {
                 break;
@@ -645,19 +648,32 @@
     /// is told and all earn alike.
     fn dearest_open(&mut self, host: usize) -> Option<usize> {
         let mut dearest = self.random_open(host)?;
-        let cost = |call: &InHand| {
-            let revenue = self.terms.traffic[usize::from(call.call.traffic.0)].revenue;
-            call.load.unwrap_or(self.mean_load).max(1e-9) / revenue.max(1e-9)
-        };
-        for no in &self.hosts[host].legs {
-            let call = &self.calls[*no];
-            if call.set_up && !call.leaving && cost(call) > cost(&self.calls[dearest]) {
-                dearest = *no;
+        let mut most = self.cost_on(dearest, host).1;
+        for at in 0..self.hosts[host].legs.len() {
+            let no = self.hosts[host].legs[at];
+            let (_, cost) = self.cost_on(no, host);
+            if self.calls[no].set_up && !self.calls[no].leaving && cost > most {
+                (dearest, most) = (no, cost);
             }
         }
         Some(dearest)
     }
 
+    /// What a connection costs its host: its load and a part for its group, the larger the fewer it has there (a
+    /// fifth of what placing counts: with more, too many light connections left); and that by its
+    /// revenue.
+    fn cost_on(&mut self, no: usize, host: usize) -> (f64, f64) {
+        let call = &self.calls[no];
+        let revenue = self.terms.traffic[usize::from(call.call.traffic.0)].revenue.max(1e-9);
+        let load =
+            if self.mean_load > 0.0 { call.load.map_or(1.0, |load| load / self.mean_load) } else { 1.0 };
+        let shared = match call.call.group {
+            Some(group) => 0.2 * GROUP / f64::from((*self.group_on(group, host)).max(1)),
+            None => 0.0,
+        };
+        (load + shared, (load + shared) / revenue)
+    }
+
     /// Danger: while a host empties, its weight of the moment says nothing of what it can do, and a limit taken
     /// from it would keep the host idle. A second cuts the limit by three tenths at most.
     fn cut_limit(&mut self, host: usize, weight: f64) {
