--- a/src/rules.rs
+++ b/src/rules.rs
@@ -473,7 +473,7 @@
         let host = ended.host;
         match (ended.ending, ended.was_set_up) {
             (Ending::Broken, true) => {
-                // Danger: a host that died takes all its connections along, and the list says so seconds later.
+                // Danger: a host that died takes all its connections along; the list says so seconds later.
                 // Three within a second that are a third of what it held are no chance.
                 self.cut_limit(host, self.weight(host));
                 let to = &mut self.hosts[host];
@@ -659,8 +659,8 @@
         Some(dearest)
     }
 
-    /// What a connection costs its host: its load and a part for its group, the larger the fewer it has there (a
-    /// fifth of what placing counts: with more, too many light connections left); and that by its
+    /// What a connection costs its host: its load and a part for its group, the larger the fewer it has there: a
+    /// fifth of what placing counts, as with more too many light connections left. And all that by its
     /// revenue.
     fn cost_on(&mut self, no: usize, host: usize) -> (f64, f64) {
         let call = &self.calls[no];
@@ -674,7 +674,7 @@
         (load + shared, (load + shared) / revenue)
     }
 
-    /// Danger: while a host empties, its weight of the moment says nothing of what it can do, and a limit taken
+    /// Danger: while a host empties, its weight of the moment says nothing of what it can do; a limit taken
     /// from it would keep the host idle. A second cuts the limit by three tenths at most.
     fn cut_limit(&mut self, host: usize, weight: f64) {
         let to = &mut self.hosts[host];
