--- a/src/book.rs
+++ b/src/book.rs
@@ -1,4 +1,4 @@
-//! What a node has in hand: the calls and their legs, and what it knows of each host. No decision is made here.
+//! What a node has in hand: calls with their legs, and what it knows of each host. Nothing is decided here.
 
 use crate::domain::*;
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -69,6 +69,7 @@
     told_load: f64,
     told: u32,
     mean_load: f64,
+    traffic_load: Vec<f64>,
     /// Loads that connections had when they ended, of this half minute and the one before.
     remembered: [FxHashMap<SubjectId, f64>; 2],
     arrivals: u32,
@@ -108,6 +109,7 @@
             told_load: 0.0,
             told: 0,
             mean_load: 0.0,
+            traffic_load: vec![0.0; terms.traffic.len()],
             remembered: Default::default(),
             arrivals: 0,
             arrival_rate: 0.0,
@@ -293,6 +295,11 @@
 
     fn drop_call(&mut self, no: usize) {
         let call = self.calls.remove(no);
+        if let Some(load) = call.load {
+            // A twentieth: the mean of some twenty connections.
+            let mean = &mut self.traffic_load[usize::from(call.call.traffic.0)];
+            *mean += if *mean > 0.0 { 0.05 * (load - *mean) } else { load };
+        }
         if let (Some(subject), Some(load)) = (call.call.subject, call.load) {
             self.remembered[0].insert(subject, load);
         }
@@ -318,6 +325,9 @@
     /// Once one that may go anywhere finds no host, the others wait on.
     fn retry_held(&mut self, port: &mut dyn Port) {
         let mut held = std::mem::replace(&mut self.held, std::mem::take(&mut self.held_spare));
+        // What little room there is goes to what earns most for its load, then to who waited longest.
+        let rank = |no: &usize| (self.worth(*no), std::cmp::Reverse(self.calls[*no].call.id));
+        held.sort_unstable_by(|a, b| rank(b).0.total_cmp(&rank(a).0).then(rank(b).1.cmp(&rank(a).1)));
         let mut closed = false;
         for no in held.drain(..) {
             self.calls[no].held = false;
@@ -432,6 +442,13 @@
             && to.full_until.max(to.over_until) <= self.now
     }
 
+    fn worth(&self, no: usize) -> f64 {
+        let call = &self.calls[no];
+        let traffic = usize::from(call.call.traffic.0);
+        let load = call.load.unwrap_or(self.traffic_load[traffic]).max(0.1 * self.mean_load).max(1e-9);
+        self.terms.traffic[traffic].revenue / load
+    }
+
     /// What the host holds for us now, in connections of the mean load.
     fn weight(&self, host: usize) -> f64 {
         let to = &self.hosts[host];
@@ -659,9 +676,9 @@
         Some(dearest)
     }
 
-    /// What a connection costs its host: its load and a part for its group, the larger the fewer it has there: a
-    /// fifth of what placing counts, as with more too many light connections left. And all that by its
-    /// revenue.
+    /// What a connection costs its host: its load and a part for its group, which grows as the group has fewer
+    /// there; and that by its revenue. The part is a fifth of what placing counts: with more, too many light
+    /// connections left.
     fn cost_on(&mut self, no: usize, host: usize) -> (f64, f64) {
         let call = &self.calls[no];
         let revenue = self.terms.traffic[usize::from(call.call.traffic.0)].revenue.max(1e-9);
@@ -753,7 +770,7 @@
         self.now = now;
         self.arrivals += u32::from(!call.returning && !call.mid_flow);
         let no = self.take_in(call);
-        self.pass_on(no, port);
+        if self.held.is_empty() { self.pass_on(no, port) } else { self.hold(no, port) }
     }
 
     /// Danger: a heavy connection that was sent away comes back looking like any other. What it asked for is
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -299,6 +299,10 @@
             ["expect", pattern @ ..] => {
                 assert!(self.count(pattern) > 0, "no {pattern:?} in {:#?}", self.done)
             }
+            ["first", verb, rest @ ..] => {
+                let line = self.done.iter().find(|line| line.starts_with(*verb)).cloned();
+                assert_eq!(line, Some(format!("{verb} {}", rest.join(" "))));
+            }
             ["never", pattern @ ..] => assert!(self.count(pattern) == 0, "{pattern:?} in {:#?}", self.done),
             other => panic!("unknown line {other:?}"),
         }
@@ -325,6 +329,7 @@
 #[test_case("returning"; "the load of a returning client is remembered")]
 #[test_case("alarms"; "alarms for waiting calls do not multiply")]
 #[test_case("list"; "failed list calls are repeated with growing waits")]
+#[test_case("worth"; "waiting calls are placed by revenue for their load")]
 #[test_case("leaving"; "a client that leaves is owed nothing")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
