--- a/src/rules.rs
+++ b/src/rules.rs
@@ -721,8 +721,9 @@
         for host in 0..self.hosts.len() {
             let warmth = self.warmth(host);
             if warmth < 1.0 {
-                // What hosts carry is well under what they can do, which leaves room for chance.
-                let part = self.hosts[host].share / shares.max(1e-6) * self.arrival_rate;
+                // Twice what a host carries: what it can do lies above that, and days drawn to break the rule came
+                // to half of the limit with it.
+                let part = self.hosts[host].share / shares.max(1e-6) * self.arrival_rate * 2.0;
                 let rate = self.terms.warming.multiple * warmth * part;
                 let to = &mut self.hosts[host];
                 to.budget += rate * self.now.since(to.budget_at).seconds();
