A pile is to be gone in 0.8 seconds

Cause: while a pile stands the host earns nothing, so shedding more at once costs less than a slow drain.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -630,8 +630,8 @@
     }
 
     /// What a host's own word on its messages asks for: when their time grows by so much a second, that share
-    /// of its load is too much, and what has piled up is to be gone in three seconds. Every node hears the
-    /// same and takes the same share of what it has there.
+    /// of its load is too much, and what has piled up is to be gone in 0.8 s (5 s to 0.3 s were tried). Every
+    /// node hears the same and takes the same share of what it has there.
     fn crowded_host(&mut self, host: usize, took: Span, port: &mut dyn Port) {
         let targets = self.terms.traffic.iter().filter_map(|traffic| traffic.message_target);
         let target = targets.min().unwrap_or(Span::ms(1000)).seconds().max(1e-3);
@@ -641,12 +641,12 @@
         let since = self.now.since(to.piled_at).seconds();
         let before = if since < 1.5 { to.piled } else { 0.0 };
         (to.piled, to.piled_at) = (took, self.now);
-        // Below three tenths of the target all is well; shedding later, at a half or the whole, lost far more.
+        // Below three tenths of the target all is well; shedding from a half or the whole lost far more.
         if took < 0.3 * target {
             return;
         }
         let growth = (took - before) / since.clamp(0.5, 1.0);
-        let share = (growth + took / 3.0).clamp(0.0, 0.5);
+        let share = (growth + took / 0.8).clamp(0.0, 0.5);
         self.cut_limit(host, weight * (1.0 - growth.max(0.0)));
         let mut above = weight * share;
         while above > 0.0 {
@@ -676,9 +676,9 @@
         Some(dearest)
     }
 
-    /// What a connection costs its host: its load and a part for its group, which grows as the group has fewer
-    /// there; and that by its revenue. The part is a fifth of what placing counts: with more, too many light
-    /// connections left.
+    /// What a connection costs its host: its load and a part for its group, which grows as the group has
+    /// fewer there; and that by its revenue. The part is a fifth of what placing counts: with more, too many
+    /// light connections left.
     fn cost_on(&mut self, no: usize, host: usize) -> (f64, f64) {
         let call = &self.calls[no];
         let revenue = self.terms.traffic[usize::from(call.call.traffic.0)].revenue.max(1e-9);
@@ -721,8 +721,8 @@
         for host in 0..self.hosts.len() {
             let warmth = self.warmth(host);
             if warmth < 1.0 {
-                // Twice what a host carries: what it can do lies above that, and days drawn to break the rule came
-                // to half of the limit with it.
+                // Twice what a host carries: what it can do lies above that, and days drawn to break the rule
+                // came to half of the limit with it.
                 let part = self.hosts[host].share / shares.max(1e-6) * self.arrival_rate * 2.0;
                 let rate = self.terms.warming.multiple * warmth * part;
                 let to = &mut self.hosts[host];
