--- a/src/rules.rs
+++ b/src/rules.rs
@@ -519,9 +519,9 @@
     /// Danger: a host that fails fast has few connections and would draw every call.
     fn judge(&mut self, host: usize, failed: bool) {
         let to = &mut self.hosts[host];
-        // 0.3 and one half: two failures in a row set a host aside that was well before.
+        // 0.3 and one half: two failures in a row set a host aside that was well before, one a host on trial.
         to.trouble += 0.3 * (f64::from(u8::from(failed)) - to.trouble);
-        if failed && (to.trouble > 0.5 || to.trial > 0) {
+        if failed && to.trouble > 0.5 {
             self.set_aside(host);
         } else if !failed && to.trial > 0 {
             to.trial -= 1;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -88,9 +88,9 @@
     }
 }
 
-/// The words after the first that look like `name=value`.
+/// Words of the form `name=value`; a bare word stands for itself.
 fn options<'a>(words: &[&'a str]) -> HashMap<&'a str, &'a str> {
-    words.iter().filter_map(|word| word.split_once('=')).collect()
+    words.iter().map(|word| word.split_once('=').unwrap_or((word, ""))).collect()
 }
 
 fn terms(words: &[&str]) -> Terms {
