A client known to be heavy goes only where half of it has room

Cause: one heavy connection that was sent away crowded the next host, which had room for light ones only. donor 0.901 -> 0.915, tay 0.637 -> 0.664, luzon 0.915 unchanged; incidents: tay 0.461 -> 0.487, 0.574 -> 0.582, 0.562 -> 0.568, donor 0.558 -> 0.565.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -172,7 +172,7 @@
         let local = self.local_burden();
         let (mut best, mut ties) = (None, 0u32);
         for host in 0..self.hosts.len() {
-            if !self.is_trusted(host) || !self.is_permitted(no, host) {
+            if !self.is_trusted(host) || !self.has_room(no, host) || !self.is_permitted(no, host) {
                 continue;
             }
             let failed = self.calls[no].failed_at.contains(&host);
@@ -335,7 +335,7 @@
                 self.hold(no, port);
                 continue;
             }
-            let anywhere = self.calls[no].ran.is_none();
+            let anywhere = self.calls[no].ran.is_none() && self.expected(no) <= 1.0;
             let before = self.held.len();
             self.pass_on(no, port);
             closed |= anywhere && self.held.len() > before;
@@ -449,6 +449,12 @@
         self.terms.traffic[traffic].revenue / load
     }
 
+    /// A connection known to be heavy needs room for half of it at least.
+    fn has_room(&self, no: usize, host: usize) -> bool {
+        let half = 0.5 * (self.expected(no) - 1.0).max(0.0);
+        self.weight(host) + half < self.hosts[host].limit
+    }
+
     /// What the host holds for us now, in connections of the mean load.
     fn weight(&self, host: usize) -> f64 {
         let to = &self.hosts[host];
