--- a/src/rules.rs
+++ b/src/rules.rs
@@ -386,11 +386,12 @@
 
     /// The load to expect, in connections of the mean load.
     fn expected(&self, no: usize) -> f64 {
-        match self.calls[no].load {
-            Some(load) if self.mean_load > 0.0 => load / self.mean_load,
-            None if self.mean_load > 0.0 => 1.0,
-            _ => 0.0,
+        let call = &self.calls[no];
+        let of_its_type = self.traffic_load[usize::from(call.call.traffic.0)];
+        if self.mean_load <= 0.0 {
+            return 0.0;
         }
+        call.load.unwrap_or(if of_its_type > 0.0 { of_its_type } else { self.mean_load }) / self.mean_load
     }
 
     fn group_on(&mut self, group: GroupId, host: usize) -> &mut u32 {
