--- a/src/rules.rs
+++ b/src/rules.rs
@@ -296,9 +296,10 @@
     fn drop_call(&mut self, no: usize) {
         let call = self.calls.remove(no);
         if let Some(load) = call.load {
-            // A twentieth: the mean of some twenty connections.
+            // A twentieth: the mean of some twenty connections, from the mean of all on.
             let mean = &mut self.traffic_load[usize::from(call.call.traffic.0)];
-            *mean += if *mean > 0.0 { 0.05 * (load - *mean) } else { load };
+            *mean = if *mean > 0.0 { *mean } else { self.mean_load };
+            *mean += 0.05 * (load - *mean);
         }
         if let (Some(subject), Some(load)) = (call.call.subject, call.load) {
             self.remembered[0].insert(subject, load);
