--- a/src/rules.rs
+++ b/src/rules.rs
@@ -566,6 +566,8 @@
             }
             aside.next_probe = self.now + to.wait.times(spread);
             if self.terms.may_probe {
+                // A probe is far less work than a setup, but on a cold host it counts.
+                to.budget -= 0.1;
                 port.probe(to.id);
             } else {
                 self.take_up(host);
@@ -926,12 +928,13 @@
                 }
             }
         }
+        let first_budget = self.first_budget();
         for line in lines {
             match self.host_no.get(&line.host) {
                 Some(host) => {
                     let to = &mut self.hosts[*host];
                     if to.up_since != line.up_since {
-                        (to.up_since, to.budget, to.budget_at) = (line.up_since, 0.0, now);
+                        (to.up_since, to.budget, to.budget_at) = (line.up_since, first_budget, now);
                     }
                     (to.condition, to.share, to.zone, to.cell) =
                         (line.condition, line.share, line.zone, line.cell);
@@ -943,6 +946,12 @@
         self.retry_held(port);
     }
 
+    /// Danger: with the same budget from the start, all nodes would send a cold host their first call in one
+    /// window. Each starts another part of a call below zero.
+    fn first_budget(&self) -> f64 {
+        -f64::from(self.terms.me) / f64::from(self.terms.nodes.max(1))
+    }
+
     /// An unheard-from host's load starts at the others' mean.
     fn add_host(&mut self, line: &Listed) {
         let mean = match self.hosts.len() {
@@ -950,7 +959,7 @@
             n => self.hosts.iter().map(|to| to.smoothed).sum::<f64>() / n as f64,
         };
         self.host_no.insert(line.host, self.hosts.len());
-        self.hosts.push(Host::new(line, mean, self.now));
+        self.hosts.push(Host { budget: self.first_budget(), ..Host::new(line, mean, self.now) });
     }
 
     /// Danger: nodes that ask again in step keep the list's service crowded. The waits grow and differ.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -113,8 +113,8 @@
     Terms {
         traffic: vec![Traffic { effect, setup_target, message_target, revenue: 1.0 }],
         zone: Zone(0),
-        me: 0,
-        nodes: 1,
+        me: number("me", 0.0) as u32,
+        nodes: number("nodes", 1.0) as u32,
         tick: Span::ms(5),
         max_legs: number("legs", 4.0) as u16,
         may_probe: true,
