--- a/crates/simhost/src/profile.rs
+++ b/crates/simhost/src/profile.rs
@@ -104,6 +104,13 @@
             window: pairs.span("safety.fallMs")?,
         },
         crossing_price: pairs.number_or("prices.crossZone", 0.0)?,
+        whole_weight: match (
+            pairs.number_or("scoreParts.whole", 1.0)?,
+            pairs.number_or("scoreParts.worstClass", 0.0)?,
+        ) {
+            (whole, worst) if whole + worst > 0.0 => whole / (whole + worst),
+            _ => 1.0,
+        },
     })
 }
 
--- a/src/domain.rs
+++ b/src/domain.rs
@@ -223,4 +223,6 @@
     pub ask_within: Option<Span>,
     pub warming: Warming,
     pub crossing_price: f64,
+    /// What the whole run weighs in how service is judged, beside the worst-served traffic type.
+    pub whole_weight: f64,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -86,12 +86,17 @@
 }
 
 impl Node {
-    pub fn start(terms: Terms, seed: u64, now: Time, port: &mut dyn Port) -> Node {
+    pub fn start(mut terms: Terms, seed: u64, now: Time, port: &mut dyn Port) -> Node {
         let mut rng = WyRand::new_seed(seed);
         // Nodes that start together tick at different moments, so that their moves do not coincide.
         let offset = Span::ms(1000).times(f64::from(rng.generate::<f32>()));
         port.wake_at(now + offset, SECOND);
         let asks = terms.ask_within.is_some();
+        // Danger: choosing by revenue alone starves the type that earns least. The more the worst-served type
+        // weighs, the less revenue counts.
+        for traffic in &mut terms.traffic {
+            traffic.revenue = traffic.revenue.powf(terms.whole_weight);
+        }
         if asks {
             port.follow_list();
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -111,7 +111,9 @@
     let setup_target = Span::from_seconds(number("target", 0.8));
     let message_target = Some(Span::ms(100));
     Terms {
-        traffic: vec![Traffic { effect, setup_target, message_target, revenue: 1.0 }],
+        traffic: [1.0, number("other", 1.0)]
+            .map(|revenue| Traffic { effect, setup_target, message_target, revenue })
+            .to_vec(),
         zone: Zone(0),
         me: number("me", 0.0) as u32,
         nodes: number("nodes", 1.0) as u32,
@@ -123,6 +125,7 @@
         ask_within: given.get("ask-within").map(|s| seconds(s)),
         warming: Warming { from: 0.2, after: Span::ms(20_000), multiple: 4.0, window: Span::ms(1000) },
         crossing_price: number("crossing", 0.0),
+        whole_weight: number("whole", 1.0),
     }
 }
 
@@ -206,7 +209,7 @@
         let whole = |key| given.get(key).map(|n: &&str| n.parse().unwrap());
         Call {
             id,
-            traffic: TrafficId(0),
+            traffic: TrafficId(given.get("type").map_or(0, |n| n.parse().unwrap())),
             tenant: TenantId(0),
             subject: whole("subject").map(SubjectId),
             group: whole("group").map(GroupId),
