--- a/src/rules.rs
+++ b/src/rules.rs
@@ -83,6 +83,8 @@
     asked: bool,
     refusals: u32,
     ask_at: Time,
+    fetch_at: Time,
+    doubt_wait: Span,
 }
 
 impl Node {
@@ -126,6 +128,8 @@
             asked: asks,
             refusals: 0,
             ask_at: now,
+            fetch_at: now,
+            doubt_wait: Span::ms(1000),
             terms,
         }
     }
@@ -612,6 +616,7 @@
             self.remembered[0].clear();
         }
         self.probe_hosts(port);
+        self.question_list(port);
         self.relieve();
         if self.seconds.is_multiple_of(5) {
             self.move_one(port);
@@ -967,6 +972,24 @@
         self.hosts.push(Host { budget: self.first_budget(), ..Host::new(line, mean, self.now) });
     }
 
+    /// Danger: a list that has gone stale unnoticed. While most hosts look bad or none is ready, the whole list
+    /// is asked for, at growing waits; and a question that nobody answers is put again.
+    fn question_list(&mut self, port: &mut dyn Port) {
+        let Some(ask_within) = self.terms.ask_within else { return };
+        let none_ready = !self.hosts.iter().any(|to| to.condition == Condition::Ready);
+        if !(self.doubts_itself || none_ready) {
+            self.doubt_wait = Span::ms(1000);
+        } else if self.now >= self.fetch_at {
+            self.doubt_wait = self.doubt_wait.times(2.0).min(ask_within.times(0.5));
+            self.fetch_at = self.now + self.doubt_wait.times(0.75 + 0.5 * self.chance());
+            port.fetch_list();
+        }
+        if self.asked && self.now.since(self.ask_at) > ask_within.times(0.5) {
+            self.ask_at = self.now;
+            port.follow_list();
+        }
+    }
+
     /// Danger: nodes that ask again in step keep the list's service crowded. The waits grow and differ.
     pub fn list_failed(&mut self, now: Time, port: &mut dyn Port) {
         self.now = now;
