--- a/src/rules.rs
+++ b/src/rules.rs
@@ -974,7 +974,7 @@
         self.hosts.push(Host { budget: self.first_budget(), ..Host::new(line, mean, self.now) });
     }
 
-    /// Danger: a list that has gone stale unnoticed. While most hosts look bad or none is ready, the whole list
+    /// Danger: a list gone stale unnoticed. While most hosts look bad or none is ready, the whole list
     /// is asked for, at growing waits; and a question that nobody answers is put again.
     fn question_list(&mut self, port: &mut dyn Port) {
         let Some(ask_within) = self.terms.ask_within else { return };
