--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -20,9 +20,9 @@
     Io(#[from] io::Error),
     #[error("input ended inside a frame, after {got} of {wanted} bytes of its {part}")]
     Truncated { part: &'static str, got: usize, wanted: usize },
-    #[error("batch {batch}: {records} records need {needed} bytes, the header says {length}")]
+    #[error("batch {batch}, byte 4: {records} records need {needed} bytes, the header says {length}")]
     Length { batch: u32, records: u32, needed: u64, length: u32 },
-    #[error("batch {batch}: the clock {clock} is no usable time")]
+    #[error("batch {batch}, byte 12: the clock {clock} is no usable time")]
     Clock { batch: u32, clock: f64 },
     #[error("batch {batch}, record {record}, byte {byte}: unknown {what} {code}")]
     Code { batch: u32, record: usize, byte: usize, what: &'static str, code: u64 },
@@ -30,8 +30,8 @@
     Tail { batch: u32, record: usize, byte: usize, what: &'static str },
     #[error("batch {batch}, record {record}, byte {byte}: {value} is no usable {what}")]
     Value { batch: u32, record: usize, byte: usize, what: &'static str, value: f64 },
-    #[error("batch {batch}, record {record}: instance {instance} was never started")]
-    NeverStarted { batch: u32, record: usize, instance: u32 },
+    #[error("batch {batch}, record {record}, byte {byte}: instance {instance} was never started")]
+    NeverStarted { batch: u32, record: usize, byte: usize, instance: u32 },
     #[error("batch {batch}, record {record}: instance {instance}: {fault}")]
     Profile { batch: u32, record: usize, instance: u32, fault: ProfileFault },
     #[error("batch {batch}, record {record}: the settings of instance {instance} are not UTF-8")]
@@ -293,7 +293,8 @@
             return Ok(());
         }
         let slot = self.nodes.get_mut(&instance);
-        let slot = slot.ok_or(Fault::NeverStarted { batch, record: number, instance })?;
+        let slot =
+            slot.ok_or(Fault::NeverStarted { batch, record: number, byte: record.byte(1), instance })?;
         if record.u8(0) == 10 {
             *slot = None;
             return Ok(());
