SIGHUP reads the configuration anew; the list is followed where the file says

Checked: no handler was registered (service.rs, Service::start took SIGTERM alone); ROUTER_DISCOVERY would have won over the file (config.rs, read). Now: the whole file is checked before anything of it counts, a bad one is logged by key and the old stays; the file's discovery wins; the new watch asks at once for the whole list without a version; the old sockets are dropped first, so old news finds nothing and the old watch's end is no failure. Test: scenario reload (bad file, moved list with lower versions, twice in a row, while leaving); without the change the node ends.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -45,6 +45,19 @@
     pub known: Option<list::Told>,
 }
 
+impl Startup {
+    /// Takes over what may change while the node serves, and says what has to wait for a new start.
+    pub fn renew(&mut self, new: Startup) -> Vec<&'static str> {
+        let later = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("settings", self.terms != new.terms || self.names != new.names || self.zones != new.zones),
+        ];
+        (self.discovery, self.descriptors) = (new.discovery, new.descriptors);
+        later.iter().filter(|(_, changed)| *changed).map(|(key, _)| *key).collect()
+    }
+}
+
 /// How much is logged; a name of the program's own, as the platform says nothing of it.
 pub fn log_level() -> Result<LevelFilter, ConfigFault> {
     match std::env::var("GLENDECK_LOG") {
@@ -57,13 +70,19 @@
 
 /// From `ROUTER_CONFIG`; the other variables say the same as its keys and win where they are set.
 pub fn from_environment() -> Result<Startup, ConfigFault> {
-    let path = std::env::var("ROUTER_CONFIG").map_err(|_| ConfigFault::NotSet("ROUTER_CONFIG"))?;
-    let text = std::fs::read_to_string(&path).map_err(|fault| ConfigFault::Unreadable {
-        key: "ROUTER_CONFIG",
-        path,
-        fault,
-    })?;
-    read(&text, |variable| std::env::var(variable).ok())
+    read(&file()?, |variable| std::env::var(variable).ok())
+}
+
+/// The file as it is now. Danger: the variables keep what they said at the start; the list's service may have
+/// moved since, and a node that trusts its variable asks one that is about to go.
+pub fn anew() -> Result<Startup, ConfigFault> {
+    read(&file()?, |variable| std::env::var(variable).ok().filter(|_| variable != "ROUTER_DISCOVERY"))
+}
+
+fn file() -> Result<String, ConfigFault> {
+    let key = "ROUTER_CONFIG";
+    let path = std::env::var(key).map_err(|_| ConfigFault::NotSet(key))?;
+    std::fs::read_to_string(&path).map_err(|fault| ConfigFault::Unreadable { key, path, fault })
 }
 
 pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Startup, ConfigFault> {
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -122,6 +122,17 @@
         }
     }
 
+    /// The list's service is at another address now. Danger: versions are each service's own, so what was
+    /// known of the old one's must not be asked from, and an answer that is still on its way must not undo
+    /// what the new one says. The old watch ends here, which is no failure; hosts stay until the new list.
+    pub fn follow_elsewhere(&mut self) {
+        let old = std::mem::take(&mut self.list);
+        for id in [old.watch, old.once].into_iter().flatten() {
+            self.drop_conn(id);
+        }
+        self.begin_watch();
+    }
+
     pub fn ask_once(&mut self) {
         if self.list.once.is_none() {
             self.list.once = self.ask_list(Ask::Once, Span::ZERO);
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -11,10 +11,10 @@
 use glendeck::port::Port;
 use glendeck::rules::Node;
 use rustix::io::Errno;
-use tracing::info;
+use tracing::{error, info, warn};
 
 use crate::clients::FIRST_LINE;
-use crate::config::Startup;
+use crate::config::{self, Startup};
 use crate::conn::{self, Conn, MUCH};
 use crate::deadlines::Deadlines;
 use crate::hosts::Directory;
@@ -182,7 +182,9 @@
     reactor: Reactor,
     pub deadlines: Deadlines<Due>,
     pub listener: OwnedFd,
+    /// SIGTERM and SIGHUP each write here.
     signals: UnixStream,
+    reloads: UnixStream,
     pub conns: Slots<Seat>,
     pub calls: Slots<Held>,
     pub legs_out: usize,
@@ -196,11 +198,21 @@
     pub scratch: Vec<u8>,
 }
 
+/// The end of a pair at which a signal shows.
+fn signalled(signal: i32) -> Result<UnixStream, std::io::Error> {
+    let (shows, sender) = UnixStream::pair()?;
+    shows.set_nonblocking(true)?;
+    signal_hook::low_level::pipe::register(signal, sender)?;
+    Ok(shows)
+}
+
 const LISTENER: u64 = u64::MAX;
 const SIGNALS: u64 = u64::MAX - 1;
+const RELOADS: u64 = u64::MAX - 2;
 
-/// Standard streams, epoll, the listening socket, the signals' two ends, and one to accept with.
-const OWN: usize = 8;
+/// Standard streams, epoll, the listening socket, two ends for each of two signals, and one to accept with or
+/// to read the configuration from.
+const OWN: usize = 10;
 
 /// The front goes on sending new clients for up to 0.4 s after the node was told to leave.
 const STILL_COMING: Span = Span::ms(450);
@@ -218,10 +230,11 @@
         let listener = conn::listen(address).map_err(|fault| ServiceFault::Listen { address, fault })?;
         let reactor = Reactor::new()?;
         reactor.add(&listener, LISTENER, Flags::IN)?;
-        let (signals, sender) = UnixStream::pair()?;
-        signals.set_nonblocking(true)?;
-        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, sender)?;
+        let signals = signalled(signal_hook::consts::SIGTERM)?;
         reactor.add(&signals, SIGNALS, Flags::IN)?;
+        // Danger: unhandled, this signal ends the process and all its connections.
+        let reloads = signalled(signal_hook::consts::SIGHUP)?;
+        reactor.add(&reloads, RELOADS, Flags::IN)?;
         let (clock, known) = (Clock::start(), startup.known.take());
         let mut service = Service {
             phase: Phase::Starting,
@@ -231,6 +244,7 @@
             deadlines: Deadlines::default(),
             listener,
             signals,
+            reloads,
             conns: Slots::default(),
             calls: Slots::default(),
             legs_out: 0,
@@ -286,6 +300,13 @@
                 }
                 return;
             }
+            RELOADS => {
+                let mut signals = [0; 16];
+                if self.reloads.read(&mut signals).is_ok() {
+                    self.reload();
+                }
+                return;
+            }
             _ => {}
         }
         let id = ConnId(number);
@@ -412,6 +433,28 @@
         }
     }
 
+    /// The whole file is checked before anything of it counts; with a bad one all stays as it was.
+    fn reload(&mut self) {
+        match config::anew() {
+            Ok(new) => {
+                let moved = new.discovery != self.startup.discovery;
+                let later = self.startup.renew(new);
+                info!(discovery = %self.startup.discovery, "configuration read anew");
+                for key in later {
+                    warn!("{key} has changed in the configuration: that counts from the next start");
+                }
+                if moved {
+                    self.follow_elsewhere();
+                } else {
+                    // While the watch stands there is nothing to ask; else this is when to try again.
+                    self.begin_watch();
+                }
+            }
+            Err(fault) => error!("bad configuration, the old one stays: {fault}"),
+        }
+        self.settle();
+    }
+
     fn leave(&mut self) {
         if matches!(self.phase, Phase::Leaving { .. } | Phase::Left) {
             return;
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -68,6 +68,19 @@
     }
 }
 
+/// A list's service, at the address of this socket.
+fn serve_lists(discovery: TcpListener, registry: Registry) -> Shared {
+    let registry: Shared = Arc::new((Mutex::new(registry), Condvar::new()));
+    let shared = registry.clone();
+    std::thread::spawn(move || {
+        for stream in discovery.incoming().flatten() {
+            let shared = shared.clone();
+            std::thread::spawn(move || serve_list(stream, &shared));
+        }
+    });
+    registry
+}
+
 /// One end of a connection that the scenario holds.
 struct End(BufReader<TcpStream>);
 
@@ -96,6 +109,7 @@
 struct World {
     child: Child,
     config: std::path::PathBuf,
+    told: Value,
     listen: SocketAddr,
     registry: Shared,
     hosts: HashMap<String, TcpListener>,
@@ -160,21 +174,26 @@
         let run = RUNS.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("glendeck-{}-{run}.json", std::process::id()));
         std::fs::write(&path, config.to_string()).unwrap();
-        let registry: Shared = Arc::new((Mutex::new(registry), Condvar::new()));
-        let shared = registry.clone();
-        std::thread::spawn(move || {
-            for stream in discovery.incoming().flatten() {
-                let shared = shared.clone();
-                std::thread::spawn(move || serve_list(stream, &shared));
-            }
-        });
+        let at = discovery.local_addr().unwrap().to_string();
+        let registry = serve_lists(discovery, registry);
         let mut command = Command::new(env!("CARGO_BIN_EXE_glendeck-node"));
-        for key in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "GLENDECK_LOG"] {
+        for key in ["ROUTER_NAME", "ROUTER_LISTEN", "GLENDECK_LOG"] {
             command.env_remove(key);
         }
-        let child = command.env("ROUTER_CONFIG", &path).stderr(Stdio::null()).spawn().unwrap();
+        command.env("ROUTER_CONFIG", &path).env("ROUTER_DISCOVERY", at);
+        let child = command.stderr(Stdio::null()).spawn().unwrap();
         let (clients, legs) = Default::default();
-        World { child, config: path, listen, registry, hosts, clients, legs, asked: Instant::now() }
+        World {
+            child,
+            config: path,
+            told: config,
+            listen,
+            registry,
+            hosts,
+            clients,
+            legs,
+            asked: Instant::now(),
+        }
     }
 
     fn connect(&self) -> End {
@@ -344,6 +363,32 @@
                 self.registry.0.lock().unwrap().down = true;
                 self.registry.1.notify_all();
             }
+            ["reload", "elsewhere"] => {
+                // The new service has its own versions, from the start; the old one ends its watches.
+                let entries: Vec<(u64, Value)> = self
+                    .registry
+                    .0
+                    .lock()
+                    .unwrap()
+                    .entries
+                    .iter()
+                    .map(|entry| (0, entry.1.clone()))
+                    .collect();
+                self.play(&["discovery", "down"]);
+                let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+                self.told["discovery"] = discovery.local_addr().unwrap().to_string().into();
+                self.registry = serve_lists(discovery, Registry { index: 0, entries, down: false });
+                std::fs::write(&self.config, self.told.to_string()).unwrap();
+                kill_process(Pid::from_child(&self.child), Signal::HUP).unwrap();
+                self.asked = Instant::now();
+            }
+            ["reload", "bad"] => {
+                // A key before the fault has changed too: nothing of such a file counts.
+                let mut told = self.told.clone();
+                (told["discovery"], told["settings"]) = ("127.0.0.1:9".into(), 7.into());
+                std::fs::write(&self.config, told.to_string()).unwrap();
+                kill_process(Pid::from_child(&self.child), Signal::HUP).unwrap();
+            }
             ["term"] => {
                 kill_process(Pid::from_child(&self.child), Signal::TERM).unwrap();
                 self.asked = Instant::now();
@@ -377,6 +422,7 @@
 #[test_case("pressure"; "a host that does not read is not flooded, and nothing is lost")]
 #[test_case("crowded"; "near the limit of descriptors clients are told to come back")]
 #[test_case("restart"; "told to end, it sends all clients away and exits")]
+#[test_case("reload"; "a new configuration is followed under load, a bad one is not")]
 #[test_case("discovery"; "a node goes on without the list's service")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
