Silent and half-said connections give way; ids are known, first lines read strictly

Checked with a socket trace: 576 connections a node say PING, hear PONG and stay up to 12 s, others say nothing: 538 of 544 descriptors held (clients.rs, FIRST_LINE 30 s, accept). 57 of 57 served clients spoke within 5 ms of coming and sent nothing before UP; the front ends its own connection after PONG. OPENs with another's id, d= or input behind the line went to hosts (line.rs first, clients.rs first_lines and relay_to_host). Ruled out: CPU (0.02 s in the worst second), memory (0 MB), the decisions (first leg 0.3 ms once accepted). Now: 2 s to open after coming or after PING; near the limit of descriptors the longest idle go first, after 50 ms at least; ids in hand are known; strict first lines; input behind an unanswered line ends the connection; reads before OPEN and what a closing connection may discard are bounded.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,13 +1,13 @@
 //! Clients, as the front deals them out: how a connection begins, what is answered, and what they send on.
 
-use glendeck::domain::{Call, CallId, Ending, Span};
+use glendeck::domain::{Call, CallId, Ending, Span, Time};
 use rustix::io::Errno;
 use rustix::net::{self, SocketFlags};
 use tracing::{debug, warn};
 
 use crate::conn::{Conn, Got, MUCH};
 use crate::line::{self, Answer, First, Opening};
-use crate::service::{ConnId, Due, Held, Phase, Role, Service, Stage};
+use crate::service::{ConnId, Due, Held, Phase, Role, Seat, Service, Stage};
 
 /// Kept back of a client's time: the answer's way to it, and what a busy core adds.
 const MARGIN: Span = Span::ms(20);
@@ -15,8 +15,16 @@
 /// So long a connection from before may take to be up at its host again; then its client is better off anew.
 const RETURN: Span = Span::ms(10_000);
 
-/// A connection that says nothing for so long is no client and holds a descriptor.
-pub const FIRST_LINE: Span = Span::ms(30_000);
+/// A connection that has not opened so long after it came, or after its last PING, is no client and holds a
+/// descriptor. Usual clients speak at once; others are owed an error or a close within 3 s.
+pub const FIRST_LINE: Span = Span::ms(2_000);
+
+/// Where descriptors are short, what is of no use to a call stays this long at least: usual clients were seen to
+/// speak within 5 ms, and to read their last words as fast; ten times that for a busy core.
+const IDLE: Span = Span::ms(50);
+
+/// What a closing connection may still send before it is cut off: more than clients have under way at a time.
+const DISCARD: usize = 64 << 10;
 
 /// While accepting fails, the system is asked again after this: soon, but without spinning.
 const ACCEPT_AGAIN: Span = Span::ms(20);
@@ -40,13 +48,14 @@
 impl Service {
     pub fn accept(&mut self) {
         for _ in 0..ACCEPTS {
-            if self.descriptors() + RESERVE / 2 >= self.startup.descriptors {
+            if !self.make_room(RESERVE / 2 + 1) {
                 return self.accept_later();
             }
             match net::accept_with(&self.listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
                 Ok(fd) => {
                     if let Some(id) = self.add_conn(Conn::new(fd, false), Role::Client(None)) {
                         self.deadlines.set(self.now + FIRST_LINE, Due::FirstLine(id));
+                        self.note_idle(id);
                     }
                 }
                 Err(Errno::AGAIN) => return,
@@ -59,6 +68,41 @@
         }
     }
 
+    /// Danger: connections by the hundred that say nothing, or ask for PONG and stay, or linger after their
+    /// answer, take every descriptor, and usual clients wait unaccepted. When so many are not free, the longest
+    /// idle go.
+    fn make_room(&mut self, free: usize) -> bool {
+        while self.descriptors() + free > self.startup.descriptors {
+            let Some((since, id)) = self.idle.front().copied() else { return false };
+            if self.is_idle(since, id) {
+                if self.now.since(since) < IDLE {
+                    return false;
+                }
+                self.drop_conn(id);
+            }
+            self.idle.pop_front();
+        }
+        true
+    }
+
+    fn note_idle(&mut self, id: ConnId) {
+        // What has left its idleness meanwhile is taken out now and then, or one that stays would keep all.
+        if self.idle.len() > 2 * self.startup.descriptors {
+            let mut idle = std::mem::take(&mut self.idle);
+            idle.retain(|(since, id)| self.is_idle(*since, *id));
+            self.idle = idle;
+        }
+        if let Some(seat) = self.conns.get_mut(id.0) {
+            seat.idle_since = self.now;
+            self.idle.push_back((self.now, id));
+        }
+    }
+
+    fn is_idle(&self, since: Time, id: ConnId) -> bool {
+        let idle = |seat: &Seat| matches!(seat.role, Role::Client(None) | Role::Closing);
+        self.conns.get(id.0).is_some_and(|seat| idle(seat) && seat.idle_since == since)
+    }
+
     /// Danger: the listening socket stays ready while nothing can be accepted, and the loop would spin.
     fn accept_later(&mut self) {
         self.listen_for(false);
@@ -89,6 +133,12 @@
                 return;
             };
             let said: Vec<u8> = seat.conn.inbox.drain(..length).collect();
+            // Danger: a client waits after its line; one that sends hundreds at once, or goes on before a host
+            // has it, would have hosts work for what they then turn away.
+            if !seat.conn.inbox.is_empty() {
+                debug!("a client did not wait for its answer");
+                return self.answer_conn(id, Answer::Error);
+            }
             match line::first(&said, &self.startup.names) {
                 Ok(First::Ping) => {
                     let pong = if self.phase == Phase::Serving { Answer::Pong } else { Answer::Error };
@@ -107,19 +157,26 @@
     }
 
     fn take_call(&mut self, id: ConnId, said: Vec<u8>, opening: Opening) {
+        // Danger: two connections of one id are one call to the hosts, and the owner's would be disturbed.
+        if self.ids.contains(&opening.id) {
+            debug!("a client's id is open already");
+            return self.answer_conn(id, Answer::Error);
+        }
         let leaving = matches!(self.phase, Phase::Leaving { .. });
         if leaving || !self.has_room() {
             let come_back = self.startup.terms.come_back.map(|most| most.min(COME_BACK));
             debug!(leaving, "busy");
             return self.answer_conn(id, Answer::Busy(come_back));
         }
-        let Opening { traffic, tenant, subject, group, wait, wait_at, load, returning, at } = opening;
+        self.ids.insert(opening.id);
+        let Opening { id: client, traffic, tenant, subject, group, wait, wait_at, load, returning, at } =
+            opening;
         let most = if at.is_some() { wait.min(RETURN) } else { wait };
         let guard = self.now + most - MARGIN.min(most.times(0.5));
         let mid_flow = false;
         let call = Call { id: CallId(0), traffic, tenant, subject, group, guard, load, returning, mid_flow };
         let stage = if at.is_some() { Stage::Returning } else { Stage::Waiting };
-        let held = Held::new(id, said, wait_at, call, stage, at);
+        let held = Held::new(client, id, said, wait_at, call, stage, at);
         let number = CallId(self.calls.insert(held));
         let Some(held) = self.calls.get_mut(number.0) else { return };
         held.call.id = number;
@@ -138,14 +195,13 @@
 
     /// Danger: in a burst, connections that have not asked yet fill the table, and all would be turned away
     /// though many could be served. What counts is what the calls in hand need; and one must be free now.
-    fn has_room(&self) -> bool {
-        let limit = self.startup.descriptors;
-        self.committed() + 2 + RESERVE <= limit && self.descriptors() + 2 <= limit
+    fn has_room(&mut self) -> bool {
+        self.committed() + 2 + RESERVE <= self.startup.descriptors && self.make_room(2)
     }
 
     /// The call's one answer, when no host gave it.
     pub fn answer_call(&mut self, id: CallId, answer: Answer) {
-        let Some(held) = self.calls.remove(id.0) else { return };
+        let Some(held) = self.forget_call(id) else { return };
         if let Some(client) = held.client {
             self.answer_conn(client, answer);
         }
@@ -169,11 +225,13 @@
         // Danger: clients that were turned away for want of descriptors hold just these.
         let tight = self.descriptors() + 2 * RESERVE > self.startup.descriptors;
         self.deadlines.set(self.now + if tight { LINGER_TIGHT } else { LINGER }, Due::Shut(id));
+        self.note_idle(id);
         self.pump(id);
     }
 
     pub fn closing_came(&mut self, id: ConnId) {
-        if self.conns.get(id.0).is_some_and(|seat| seat.conn.is_over()) {
+        // Danger: one that sends on at full speed would take the core for as long as it lingers.
+        if self.conns.get(id.0).is_some_and(|seat| seat.conn.is_over() || seat.conn.discarded > DISCARD) {
             self.drop_conn(id);
         }
     }
@@ -213,7 +271,7 @@
         let Some(held) = self.calls.get(call.0) else { return };
         if held.stage == Stage::Returning {
             let conn = held.leg.as_ref().map(|leg| leg.conn);
-            self.calls.remove(call.0);
+            self.forget_call(call);
             if let Some(conn) = conn {
                 self.legs_out -= 1;
                 self.drop_conn(conn);
@@ -223,7 +281,7 @@
         let now = self.now;
         self.tell(|node, port| node.call_given_up(now, call, port));
         if self.calls.get(call.0).is_some_and(|held| held.leg.is_none()) {
-            self.calls.remove(call.0);
+            self.forget_call(call);
         }
     }
 
@@ -242,9 +300,11 @@
         let Some(seat) = self.conns.get_mut(id.0) else { return };
         let open = matches!(held.stage, Stage::Open | Stage::Ending);
         let Some(host) = held.leg.as_ref().map(|leg| leg.conn).filter(|_| open) else {
-            // What the client sends early waits for the host, up to a bound.
-            seat.conn.paused = seat.conn.inbox.len() > MUCH;
-            return self.watch_conn(id);
+            debug!(call = call.0, "a client did not wait for its host");
+            held.client = None;
+            self.answer_conn(id, Answer::Error);
+            self.call_given_up(call);
+            return self.settle();
         };
         let length = line::whole_lines(&seat.conn.inbox);
         if seat.conn.inbox.len() - length >= line::LONGEST {
--- a/crates/node/src/conn.rs
+++ b/crates/node/src/conn.rs
@@ -24,6 +24,8 @@
     /// After what is to be sent, our sending ends.
     pub finish: bool,
     write_ended: bool,
+    /// How much came after its last words and was thrown away.
+    pub discarded: usize,
     /// What the reactor watches for now.
     pub watched: Flags,
 }
@@ -68,6 +70,7 @@
             read_ended: false,
             finish: false,
             write_ended: false,
+            discarded: 0,
             watched,
         }
     }
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -300,7 +300,6 @@
             self.deadlines.set(now + SEND_AWAY, Due::Move(call));
         }
         self.move_before_leaving(call);
-        self.relay_to_host(client, call);
         self.relay_to_client(id, call);
     }
 
--- a/crates/node/src/line.rs
+++ b/crates/node/src/line.rs
@@ -10,7 +10,7 @@
 
 #[derive(Debug, PartialEq, thiserror::Error)]
 pub enum LineFault {
-    #[error("the line is no text")]
+    #[error("the line is not printable ASCII with CRLF at its end")]
     NoText,
     #[error("the line is neither OPEN nor PING")]
     Verb,
@@ -36,8 +36,13 @@
     Open(Opening),
 }
 
+/// A connection's own id, new with every connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ClientId(pub u64);
+
 #[derive(Debug, PartialEq)]
 pub struct Opening {
+    pub id: ClientId,
     pub traffic: TrafficId,
     pub tenant: TenantId,
     pub subject: Option<SubjectId>,
@@ -89,15 +94,41 @@
     })
 }
 
-/// A guess at the load, in milliseconds of work a second.
-fn guess(text: &str) -> Result<f64, LineFault> {
-    Ok(amount(text, "h")?.min(1e9) / 1e3)
+/// The longest that a client may say it waits, in milliseconds: a day. Connections from before a start say hours.
+const LONGEST_WAIT: f64 = 86_400_000.0;
+
+/// Names in one list; nine are in use.
+const NAMES: usize = 32;
+
+/// Up to 16 hexadecimal digits and nothing else.
+fn hex(text: &str) -> Option<u64> {
+    let digits = (1..=16).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
 }
 
-/// Ids are hexadecimal as a rule; any other text is numbered.
+/// Keys and groups are hexadecimal as a rule; any other text is numbered.
 fn id(text: &str) -> Option<u64> {
-    let number = u64::from_str_radix(text, 16).unwrap_or_else(|_| numbered(text));
-    Some(number).filter(|number| *number != 0 && !text.is_empty() && text != "-")
+    let number = hex(text).unwrap_or_else(|| numbered(text));
+    Some(number).filter(|number| *number != 0 && text != "-")
+}
+
+/// A client's number: decimal digits, perhaps with a fraction. Danger: the usual parser also takes signs,
+/// exponents and words, and hosts do not.
+fn plain(text: &str, what: &'static str, most: f64) -> Result<f64, LineFault> {
+    let sound = text.starts_with(|c: char| c.is_ascii_digit())
+        && text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    match amount(text, what) {
+        Ok(number) if sound && number <= most => Ok(number),
+        _ => Err(LineFault::Bad(what)),
+    }
+}
+
+fn flag(text: &str, what: &'static str) -> Result<bool, LineFault> {
+    match text {
+        "0" => Ok(false),
+        "1" => Ok(true),
+        _ => Err(LineFault::Bad(what)),
+    }
 }
 
 fn amount(text: &str, what: &'static str) -> Result<f64, LineFault> {
@@ -109,21 +140,29 @@
     names.iter().position(|known| known == name).ok_or(LineFault::Bad(what))
 }
 
+/// Danger: what is let through here unread costs a host a connection and counts there as its failure; so
+/// whatever is not exactly of the form ends the connection instead.
 pub fn first(line: &[u8], names: &Names) -> Result<First, LineFault> {
-    let text = std::str::from_utf8(bare(line)).map_err(|_| LineFault::NoText)?;
-    let mut words = text.split(' ').filter(|word| !word.is_empty());
-    match words.next() {
-        Some("PING") => return Ok(First::Ping),
-        Some("OPEN") => {}
-        _ => return Err(LineFault::Verb),
+    let bare = line.strip_suffix(b"\r\n").ok_or(LineFault::NoText)?;
+    let text = std::str::from_utf8(bare).map_err(|_| LineFault::NoText)?;
+    if !text.bytes().all(|byte| (b' '..=b'~').contains(&byte)) {
+        return Err(LineFault::NoText);
+    }
+    if text == "PING" {
+        return Ok(First::Ping);
+    }
+    let mut words = text.strip_prefix("OPEN ").ok_or(LineFault::Verb)?.split(' ');
+    let mut word = |what| words.next().filter(|word| !word.is_empty()).ok_or(LineFault::Missing(what));
+    let (client, key, list) = (word("an id")?, word("a key")?, word("a list")?);
+    if words.next().is_some() {
+        return Err(LineFault::Bad("word behind its list"));
     }
-    words.next().ok_or(LineFault::Missing("an id"))?;
-    let subject = id(words.next().ok_or(LineFault::Missing("a key"))?).map(SubjectId);
     let (mut traffic, mut wait) = (None, None);
     let mut opening = Opening {
+        id: ClientId(hex(client).ok_or(LineFault::Bad("id"))?),
         traffic: TrafficId(0),
         tenant: TenantId(0),
-        subject,
+        subject: id(key).map(SubjectId),
         group: None,
         wait: Span::ZERO,
         wait_at: 0..0,
@@ -131,19 +170,26 @@
         returning: false,
         at: None,
     };
-    for field in words.flat_map(|word| word.split(',')) {
-        let (name, value) = field.split_once('=').unwrap_or((field, ""));
+    for (place, field) in list.split(',').enumerate() {
+        let (name, value) = field.split_once('=').ok_or(LineFault::Bad("list"))?;
+        let doubled = || list.split(',').take(place).any(|other| other.split('=').next() == Some(name));
+        if name.is_empty() || value.is_empty() || place >= NAMES || doubled() {
+            return Err(LineFault::Bad("list"));
+        }
         match name {
             "c" => traffic = Some(TrafficId(index(&names.traffic, value, "c")? as u8)),
-            "t" if !value.is_empty() => opening.tenant = TenantId(index(&names.tenants, value, "t")? as u32),
+            "t" => opening.tenant = TenantId(index(&names.tenants, value, "t")? as u32),
             "d" => {
-                wait = Some(Span::from_seconds(amount(value, "d")? / 1e3));
+                let span = Span::from_seconds(plain(value, "d", LONGEST_WAIT)? / 1e3);
+                wait = Some(span).filter(|span| *span > Span::ZERO);
                 let at = value.as_ptr() as usize - line.as_ptr() as usize;
                 opening.wait_at = at..at + value.len();
             }
             "g" if names.groups => opening.group = id(value).map(GroupId),
-            "h" => opening.load = Some(guess(value)?),
-            "r" | "again" => opening.returning |= value == "1",
+            // Milliseconds of work a second; more than a million cores is no load.
+            "h" => opening.load = Some(plain(value, "h", 1e9)? / 1e3),
+            "r" => opening.returning |= flag(value, "r")?,
+            "again" => opening.returning |= flag(value, "again")?,
             "at" => opening.at = Some(HostId(numbered(value))),
             _ => {}
         }
@@ -207,3 +253,35 @@
 }
 
 pub const PROBE: &[u8] = b"PING\r\n";
+
+#[cfg(test)]
+mod tests {
+    use super::{First, Names};
+    use test_case::test_case;
+
+    #[test_case("OPEN 9b1f 7f3a c=chat,t=one,d=2000,g=5c0f,r=1,again=0,h=1.5,zz=9\r\n", true; "all names")]
+    #[test_case("OPEN 9b1f - c=chat,d=4294967,at=s-1\r\n", true; "from before the start")]
+    #[test_case("OPEN 9b1f 7f3a c=chat,d=2000\n", false; "no CR")]
+    #[test_case("OPEN 9b1f 7f3a c=chat,d=2000 \r\n", false; "a stray space")]
+    #[test_case("OPEN 9b1f 7f3a c=chat,d=20\x0000\r\n", false; "a stray byte")]
+    #[test_case("OPEN 7f3a c=chat,d=2000\r\n", false; "no id")]
+    #[test_case("OPEN +9b1f 7f3a c=chat,d=2000\r\n", false; "an id with a sign")]
+    #[test_case("OPEN 9b1f9b1f9b1f9b1f9 7f3a c=chat,d=2000\r\n", false; "an id of 17 digits")]
+    #[test_case("OPEN 9b1f 7f3a c=chats,d=2000\r\n", false; "no such traffic type")]
+    #[test_case("OPEN 9b1f 7f3a c=chat,t=,d=2000\r\n", false; "no tenant named")]
+    #[test_case("OPEN 9b1f 7f3a c=chat,d=soon\r\n", false; "a time that is none")]
+    #[test_case("OPEN 9b1f 7f3a c=chat,d=-5\r\n", false; "a negative time")]
+    #[test_case("OPEN 9b1f 7f3a c=chat,d=+5\r\n", false; "a time with a sign")]
+    #[test_case("OPEN 9b1f 7f3a c=chat,d=1e3\r\n", false; "a time with an exponent")]
+    #[test_case("OPEN 9b1f 7f3a c=chat,d=0\r\n", false; "no time")]
+    #[test_case("OPEN 9b1f 7f3a c=chat,d=99999999999999999999999\r\n", false; "a huge time")]
+    #[test_case("OPEN 9b1f 7f3a c=chat,d=2000,d=3000\r\n", false; "a name said twice")]
+    #[test_case("OPEN 9b1f 7f3a c=chat,d=2000,r=2\r\n", false; "a mark that is none")]
+    #[test_case("OPEN 9b1f 7f3a c=chat,,d=2000\r\n", false; "an empty field")]
+    #[test_case("PING \r\n", false; "more than PING")]
+    fn first_lines(line: &str, sound: bool) {
+        let (traffic, tenants) = (vec!["chat".to_owned()], vec!["one".to_owned()]);
+        let said = super::first(line.as_bytes(), &Names { traffic, tenants, groups: true });
+        assert_eq!(matches!(said, Ok(First::Open(_))), sound, "{said:?}");
+    }
+}
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -10,15 +10,16 @@
 use glendeck::domain::{Call, CallId, Ending, HostId, LegNo, Span, Time, Token};
 use glendeck::port::Port;
 use glendeck::rules::Node;
+use rustc_hash::FxHashSet;
 use rustix::io::Errno;
 use tracing::{error, info, warn};
 
 use crate::clients::FIRST_LINE;
 use crate::config::{self, Startup};
-use crate::conn::{self, Conn, MUCH};
+use crate::conn::{self, Conn, Got, MUCH};
 use crate::deadlines::Deadlines;
 use crate::hosts::Directory;
-use crate::line::{Answer, Word};
+use crate::line::{Answer, ClientId, LONGEST, Word};
 use crate::list::{Ask, List};
 use crate::reactor::{Flags, Reactor};
 use crate::slots::Slots;
@@ -64,7 +65,10 @@
 pub struct Seat {
     pub conn: Conn,
     pub role: Role,
+    /// When it came, or last said PING.
     pub quiet_since: Time,
+    /// Since when it is of no use to a call: it has opened none yet, or has had its last words.
+    pub idle_since: Time,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -90,6 +94,7 @@
 
 /// A call in hand.
 pub struct Held {
+    pub id: ClientId,
     pub client: Option<ConnId>,
     pub line: Vec<u8>,
     pub wait_at: Range<usize>,
@@ -107,6 +112,7 @@
 
 impl Held {
     pub fn new(
+        id: ClientId,
         client: ConnId,
         line: Vec<u8>,
         wait_at: Range<usize>,
@@ -115,6 +121,7 @@
         at: Option<HostId>,
     ) -> Held {
         Held {
+            id,
             client: Some(client),
             line,
             wait_at,
@@ -187,6 +194,10 @@
     reloads: UnixStream,
     pub conns: Slots<Seat>,
     pub calls: Slots<Held>,
+    /// The ids of the calls in hand.
+    pub ids: FxHashSet<ClientId>,
+    /// Connections of no use to a call, the longest idle first, each with the time since when.
+    pub idle: VecDeque<(Time, ConnId)>,
     pub legs_out: usize,
     pub hosts: Directory,
     pub list: List,
@@ -247,6 +258,8 @@
             reloads,
             conns: Slots::default(),
             calls: Slots::default(),
+            ids: FxHashSet::default(),
+            idle: VecDeque::new(),
             legs_out: 0,
             hosts: Directory::default(),
             list: List::default(),
@@ -361,7 +374,9 @@
             return;
         }
         let role = seat.role;
-        let got = match seat.conn.read(&mut self.scratch) {
+        // A connection that has not opened needs room for one line.
+        let most = if role == Role::Client(None) { LONGEST } else { MUCH };
+        let got = match seat.conn.read(&mut self.scratch[..most]) {
             Ok(got) => got,
             Err(_) => return self.lost(id),
         };
@@ -370,7 +385,12 @@
             Role::Host(call) => self.host_came(id, call, got),
             Role::Probe(host) => self.probe_came(id, host, got),
             Role::List(ask, _) => self.list_came(id, ask, got),
-            Role::Closing => self.closing_came(id),
+            Role::Closing => {
+                if let Got::Bytes(n) = got {
+                    seat.conn.discarded += n;
+                }
+                self.closing_came(id);
+            }
         }
         self.watch_conn(id);
     }
@@ -510,8 +530,15 @@
         OWN + 2 * self.calls.len()
     }
 
+    pub fn forget_call(&mut self, call: CallId) -> Option<Held> {
+        let held = self.calls.remove(call.0)?;
+        self.ids.remove(&held.id);
+        Some(held)
+    }
+
     pub fn add_conn(&mut self, conn: Conn, role: Role) -> Option<ConnId> {
-        let id = ConnId(self.conns.insert(Seat { conn, role, quiet_since: self.now }));
+        let (quiet_since, idle_since) = (self.now, self.now);
+        let id = ConnId(self.conns.insert(Seat { conn, role, quiet_since, idle_since }));
         let seat = self.conns.get(id.0)?;
         if self.reactor.add(&seat.conn.fd, id.0, seat.conn.watched).is_err() {
             self.conns.remove(id.0);
@@ -570,7 +597,7 @@
             if let Some(LegEnd { call, leg, ending, last }) = self.ended.pop_front() {
                 node.leg_ended(now, call, leg, ending, last, self);
                 if last {
-                    self.calls.remove(call.0);
+                    self.forget_call(call);
                 }
             } else if let Some(host) = self.probes_failed.pop() {
                 node.probe_ended(now, host, Ending::Unreachable, Span::ZERO, self);
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -271,6 +271,19 @@
             ["client", name, "connects"] => {
                 let client = self.connect();
                 self.clients.insert((*name).to_owned(), client);
+                self.asked = Instant::now();
+            }
+            ["crowd", count, rest @ ..] => {
+                for name in 0..count.parse::<u32>().unwrap() {
+                    let name = format!("crowd{name}");
+                    self.play(&["client", &name, "connects"]);
+                    if !rest.is_empty() {
+                        self.play(&[&["client", &name], rest].concat());
+                    }
+                }
+            }
+            [side @ ("client" | "host"), name, "writes", rest @ ..] => {
+                self.end(side, name).say(rest.join(" ").as_bytes());
             }
             ["leg", name, "at", host, rest @ ..] => {
                 let (leg, line) = loop {
@@ -422,6 +435,7 @@
 #[test_case("pressure"; "a host that does not read is not flooded, and nothing is lost")]
 #[test_case("crowded"; "near the limit of descriptors clients are told to come back")]
 #[test_case("restart"; "told to end, it sends all clients away and exits")]
+#[test_case("rude"; "who says nothing, half a line or another's id is turned away and disturbs nobody")]
 #[test_case("reload"; "a new configuration is followed under load, a bad one is not")]
 #[test_case("discovery"; "a node goes on without the list's service")]
 fn scenario(name: &str) {
