Without message times, setups that take too long count as message times

Checked: lines come back in under 1 ms whatever the host carries, probes hardly change (0.9 to 1.3 ms), so nothing else on the sockets tells; leg_set_up threw the time away (rules.rs, _took). Ruled out: a burst's own queue (a third more for each leg ahead), a slow session store (the usual follows the fleet's setups), single pauses (mean of two).

--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -294,7 +294,7 @@
         if returning {
             self.tell(|node, _| node.connection_found(now, of, host));
         } else {
-            self.tell(|node, _| node.leg_set_up(now, call, no, took));
+            self.tell(|node, port| node.leg_set_up(now, call, no, took, port));
         }
         if self.hosts.is_leaving(host) {
             self.deadlines.set(now + SEND_AWAY, Due::Move(call));
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -258,7 +258,8 @@
 /// All instances that this process hosts; one that went down keeps its number.
 #[derive(Default)]
 pub struct Tier {
-    nodes: FxHashMap<u32, Option<Node>>,
+    /// Each with how many traffic types it knows.
+    nodes: FxHashMap<u32, Option<(usize, Node)>>,
     lines: Vec<Listed>,
 }
 
@@ -288,7 +289,8 @@
             let text = text.map_err(|_| Fault::Text { batch, record: number, instance })?;
             let terms = Pairs::from_lines(text).and_then(|pairs| glendeck_terms::terms(&pairs));
             let terms = terms.map_err(|fault| Fault::Profile { batch, record: number, instance, fault })?;
-            self.nodes.insert(instance, Some(Node::start(terms, record.u64(5), now, out)));
+            let types = terms.traffic.len();
+            self.nodes.insert(instance, Some((types, Node::start(terms, record.u64(5), now, out))));
             return Ok(());
         }
         let slot = self.nodes.get_mut(&instance);
@@ -298,7 +300,8 @@
             *slot = None;
             return Ok(());
         }
-        let Some(node) = slot else { return Ok(()) };
+        let Some((types, node)) = slot else { return Ok(()) };
+        let knows = |call: &Call| usize::from(call.traffic.0) < *types;
         let (call, leg) = (CallId(record.u64(5)), |at| LegNo(record.u16(at)));
         match record.u8(0) {
             2 => {
@@ -317,19 +320,19 @@
             }
             3 => {
                 let call = record.call(25, 26, 34, 36, 21, 13)?;
-                if !node.knows_traffic(call.traffic) {
+                if !knows(&call) {
                     return Err(record.code(25, "traffic type"));
                 }
                 node.call_taken(now, call, out);
             }
             11 => {
                 let call = record.call(57, 23, 13, 31, 39, 15)?;
-                if !node.knows_traffic(call.traffic) {
+                if !knows(&call) {
                     return Err(record.code(57, "traffic type"));
                 }
                 node.connection_found(now, call, record.host(51));
             }
-            4 => node.leg_set_up(now, call, leg(13), record.span(21)?),
+            4 => node.leg_set_up(now, call, leg(13), record.span(21)?, out),
             5 => {
                 let (ending, ended) = (record.ending(21)?, record.u8(30) != 0);
                 node.leg_ended(now, call, leg(13), ending, ended, out);
--- a/src/book.rs
+++ b/src/book.rs
@@ -19,6 +19,8 @@
     /// The first leg that may have run: its host and when it was sent.
     pub ran: Option<(usize, Time)>,
     pub sent: Time,
+    /// How many legs were setting up at its host when its own was sent.
+    pub ahead: u32,
     pub failed_at: Vec<usize>,
 }
 
@@ -115,6 +117,21 @@
     pub failed: f64,
     pub arrivals: u32,
     pub arrival: f64,
+    /// What a setup takes, in seconds; 0 before the first.
+    pub setup: f64,
+}
+
+impl Rates {
+    /// What a setup may take at any host, in seconds: half as much again as those of late, and a third for each
+    /// that was ahead of it there, as a burst makes its own queue. One slow setup raises what is usual by a fifth
+    /// at most, so that a host going under does not hide itself; where all are slow, as with a slow session
+    /// store, five or so are enough to make that usual.
+    pub fn usual_setup(&mut self, took: Span, ahead: u32) -> f64 {
+        let took = took.seconds();
+        let usual = if self.setup > 0.0 { self.setup } else { took };
+        self.setup = usual + 0.2 * (took.min(2.0 * usual) - usual);
+        usual * (1.5 + f64::from(ahead) / 3.0)
+    }
 }
 
 /// Calls that wait for a host, and those of them whose turn it is.
@@ -183,6 +200,8 @@
     /// What answers to probes take as a rule, and what the last one took, in seconds; 0 before the first.
     pub answers: f64,
     pub answer: f64,
+    /// By how many seconds the last setup took too long.
+    pub set_up_slower: f64,
     pub full_until: Time,
     pub full_rest: Span,
     /// The most of our connections' load that it has coped with, once it has shown where that lies.
@@ -212,6 +231,7 @@
             leaving: false,
             ran: None,
             sent: now,
+            ahead: 0,
             failed_at: Vec::new(),
         }
     }
@@ -225,6 +245,12 @@
         self.work_at = now;
     }
 
+    /// By how much the last two setups took too long, in the mean: a single one may have met a pause.
+    pub fn set_up_slower(&mut self, seconds: f64) -> Span {
+        let before = std::mem::replace(&mut self.set_up_slower, seconds.max(0.0));
+        Span::from_seconds(0.5 * (before + self.set_up_slower))
+    }
+
     /// How many times as long as usual its last two answers to probes took. The usual follows by a tenth, and
     /// slow ones count for a third more than it at the most, so that it does not follow a slow spell.
     pub fn answered_in(&mut self, took: Span) -> f64 {
@@ -263,6 +289,7 @@
             piled_at: Time(0),
             answers: 0.0,
             answer: 0.0,
+            set_up_slower: 0.0,
             full_until: now,
             full_rest: Span::ZERO,
             limit: f64::INFINITY,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -103,10 +103,6 @@
         }
     }
 
-    pub fn knows_traffic(&self, traffic: TrafficId) -> bool {
-        usize::from(traffic.0) < self.terms.traffic.len()
-    }
-
     // The chain.
 
     fn pass_on(&mut self, no: usize, port: &mut dyn Port) {
@@ -189,7 +185,7 @@
         let within = self.leg_time(no);
         self.rates.tried += 1.0;
         let call = &mut self.calls[no];
-        (call.sent, call.set_up) = (self.now, false);
+        (call.sent, call.set_up, call.ahead) = (self.now, false, self.hosts[host].setting_up);
         let id = call.call.id;
         self.hosts[host].setting_up += 1;
         self.put(no, host);
@@ -823,9 +819,7 @@
                 low = Some((burden, host));
             }
         }
-        let (Some((most, top)), Some((least, low))) = (top, low) else {
-            return;
-        };
+        let (Some((most, top)), Some((least, low))) = (top, low) else { return };
         let (above, below) = (&self.hosts[top], &self.hosts[low]);
         let more = above.legs.len() as f64 - below.legs.len() as f64;
         let heavier = above.smoothed - below.smoothed >= 2.0 * self.loads.mean && self.loads.mean > 0.0;
@@ -867,24 +861,28 @@
 
     pub fn connection_found(&mut self, now: Time, call: Call, host: HostId) {
         self.now = now;
-        let Some(host) = self.host_no.get(&host).copied() else {
-            return;
-        };
+        let Some(host) = self.host_no.get(&host).copied() else { return };
         let no = self.take_in(call);
         self.calls[no].set_up = true;
         self.put(no, host);
     }
 
-    pub fn leg_set_up(&mut self, now: Time, call: CallId, leg: LegNo, _took: Span) {
+    pub fn leg_set_up(&mut self, now: Time, call: CallId, leg: LegNo, took: Span, port: &mut dyn Port) {
         self.now = now;
-        let Some((no, host)) = self.leg_out(call, leg) else {
+        let Some((no, host)) = self.leg_out(call, leg) else { return };
+        if self.calls[no].set_up {
             return;
-        };
-        if !self.calls[no].set_up {
-            self.calls[no].set_up = true;
-            self.hosts[host].setting_up -= 1;
-            self.hosts[host].full_rest = Span::ZERO;
-            self.judge(host, false);
+        }
+        self.calls[no].set_up = true;
+        self.hosts[host].setting_up -= 1;
+        self.hosts[host].full_rest = Span::ZERO;
+        self.judge(host, false);
+        // Danger: a host that goes under answers probes beside its work, and all that is open there earns nothing
+        // until it drops it. A setup waits behind that work: what it took too long, a message takes too.
+        if !self.terms.message_times {
+            let usual = self.rates.usual_setup(took, self.calls[no].ahead);
+            let slower = self.hosts[host].set_up_slower(took.seconds() - usual);
+            self.crowded_host(host, slower, port);
         }
     }
 
@@ -904,9 +902,7 @@
         port: &mut dyn Port,
     ) {
         self.now = now;
-        let Some((no, host)) = self.leg_out(call, leg) else {
-            return;
-        };
+        let Some((no, host)) = self.leg_out(call, leg) else { return };
         let was_set_up = self.calls[no].set_up;
         self.pass_back(no, Ended { ending, final_answer, host, was_set_up }, port);
     }
@@ -914,9 +910,7 @@
     /// The client left: nothing is owed, and the leg that is still out need not go on.
     pub fn call_given_up(&mut self, now: Time, call: CallId, port: &mut dyn Port) {
         self.now = now;
-        let Some(no) = self.call_no.get(&call).copied() else {
-            return;
-        };
+        let Some(no) = self.call_no.get(&call).copied() else { return };
         if self.calls[no].out.is_none() {
             return self.drop_call(no);
         }
@@ -928,9 +922,7 @@
 
     pub fn leg_news(&mut self, now: Time, call: CallId, leg: LegNo, news: News, port: &mut dyn Port) {
         self.now = now;
-        let Some((no, host)) = self.leg_out(call, leg) else {
-            return;
-        };
+        let Some((no, host)) = self.leg_out(call, leg) else { return };
         match news {
             News::Load(load) => {
                 self.count_load(no, host, -1.0);
@@ -961,9 +953,7 @@
 
     pub fn probe_ended(&mut self, now: Time, host: HostId, how: Ending, took: Span, port: &mut dyn Port) {
         self.now = now;
-        let Some(host) = self.host_no.get(&host).copied() else {
-            return;
-        };
+        let Some(host) = self.host_no.get(&host).copied() else { return };
         let to = &mut self.hosts[host];
         let Some(aside) = &mut to.aside else {
             if how == Ending::Completed && !self.terms.message_times {
@@ -1074,9 +1064,7 @@
         self.now = now;
         (self.asking.asked, self.asking.following) = (false, false);
         self.asking.refusals += 1;
-        let Some(ask_within) = self.terms.ask_within else {
-            return;
-        };
+        let Some(ask_within) = self.terms.ask_within else { return };
         let longest = ask_within.times(0.3);
         let wait = Span::ms(250).times(f64::from(1u32 << self.asking.refusals.min(6))).min(longest);
         self.asking.ask_at = now + wait.times(0.5 + 0.5 * self.chance());
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -167,7 +167,7 @@
                 if way == "well" {
                     let (leg, host) = self.legs[&call];
                     let took = self.setups.get(&host).copied().unwrap_or(Span::ms(20));
-                    self.node.leg_set_up(self.now, call, LegNo(leg), took);
+                    self.node.leg_set_up(self.now, call, LegNo(leg), took, &mut self.log);
                 } else {
                     self.end(call, ending(&way), false);
                 }
@@ -348,6 +348,7 @@
 #[test_case("alarms"; "alarms for waiting calls do not multiply")]
 #[test_case("list"; "failed list calls are repeated with growing waits")]
 #[test_case("unheard"; "without message times a host that answers probes slower than usual is crowded")]
+#[test_case("slow_setups"; "without message times a host whose setups take too long is crowded")]
 #[test_case("broken_last"; "a host whose last connection broke is taken up again")]
 #[test_case("worth"; "waiting calls are placed by revenue for their load")]
 #[test_case("leaving"; "a client that leaves is owed nothing")]
