--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -19,8 +19,8 @@
 /// descriptor. Usual clients speak at once; others are owed an error or a close within 3 s.
 pub const FIRST_LINE: Span = Span::ms(2_000);
 
-/// Where descriptors are short, what is of no use to a call stays this long at least: usual clients were seen to
-/// speak within 5 ms, and to read their last words as fast; ten times that for a busy core.
+/// Where descriptors are short, what is of no use to a call stays this long at least: usual clients were seen
+/// to speak within 5 ms, and to read their last words as fast; ten times that for a busy core.
 const IDLE: Span = Span::ms(50);
 
 /// What a closing connection may still send before it is cut off: more than clients have under way at a time.
@@ -69,8 +69,8 @@
     }
 
     /// Danger: connections by the hundred that say nothing, or ask for PONG and stay, or linger after their
-    /// answer, take every descriptor, and usual clients wait unaccepted. When so many are not free, the longest
-    /// idle go.
+    /// answer, take every descriptor, and usual clients wait unaccepted. When so many are not free, the
+    /// longest idle go.
     fn make_room(&mut self, free: usize) -> bool {
         while self.descriptors() + free > self.startup.descriptors {
             let Some((since, id)) = self.idle.front().copied() else { return false };
@@ -133,8 +133,8 @@
                 return;
             };
             let said: Vec<u8> = seat.conn.inbox.drain(..length).collect();
-            // Danger: a client waits after its line; one that sends hundreds at once, or goes on before a host
-            // has it, would have hosts work for what they then turn away.
+            // Danger: a client waits after its line; one that sends hundreds at once, or goes on before a
+            // host has it, would have hosts work for what they then turn away.
             if !seat.conn.inbox.is_empty() {
                 debug!("a client did not wait for its answer");
                 return self.answer_conn(id, Answer::Error);
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -12,9 +12,9 @@
 use crate::list::Told;
 use crate::service::{ConnId, Due, Held, Leg, LegEnd, Role, Service, Stage};
 
-/// How long a host may bring nothing back on a connection that asked it something. A host that is well answers
-/// within milliseconds, however crowded; this leaves room for TCP to send again three times (0.2, 0.4 and 0.8 s).
-/// Clients speak every 2 s, so that a vanished host's are sent away within 4 s, of the 7 allowed.
+/// How long a host may bring nothing back on a connection that asked it something. A host that is well
+/// answers within milliseconds, however crowded; this leaves room for TCP to send again three times (after 0.2,
+/// 0.4 and 0.8 s). Clients speak every 2 s: a vanished host's are sent away within 4 s, of the 7 allowed.
 const SILENCE: Span = Span::ms(2_000);
 
 /// A probe is answered at once or the host is not well.
--- a/crates/node/src/line.rs
+++ b/crates/node/src/line.rs
@@ -94,7 +94,7 @@
     })
 }
 
-/// The longest that a client may say it waits, in milliseconds: a day. Connections from before a start say hours.
+/// The longest that a client may say it waits, in milliseconds: a day. Those from before a start say hours.
 const LONGEST_WAIT: f64 = 86_400_000.0;
 
 /// Names in one list; nine are in use.
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -236,8 +236,8 @@
 const LAST_MOVES: Span = Span::ms(500);
 
 /// All clients go within this time before the last ones: as much as those of a leaving host get, and setups
-/// elsewhere are spread. Danger: in a rolling restart the node before this one may not be back yet, and clients
-/// sent away early have nowhere to go.
+/// elsewhere are spread. Danger: in a rolling restart the node before this one may not be back yet, and
+/// clients sent away early have nowhere to go.
 const MOVES: Span = Span::ms(1_000);
 
 impl Service {
--- a/src/book.rs
+++ b/src/book.rs
@@ -122,10 +122,10 @@
 }
 
 impl Rates {
-    /// What a setup may take at any host, in seconds: half as much again as those of late, and a third for each
-    /// that was ahead of it there, as a burst makes its own queue. One slow setup raises what is usual by a fifth
-    /// at most, so that a host going under does not hide itself; where all are slow, as with a slow session
-    /// store, five or so are enough to make that usual.
+    /// What a setup may take at any host, in seconds: half as much again as those of late, and a third for
+    /// each that was ahead of it there, as a burst makes its own queue. One slow setup raises what is usual by
+    /// a fifth at most, so that a host going under does not hide itself; where all are slow, as with a slow
+    /// session store, five or so are enough to make that usual.
     pub fn usual_setup(&mut self, took: Span, ahead: u32) -> f64 {
         let took = took.seconds();
         let usual = if self.setup > 0.0 { self.setup } else { took };
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -361,8 +361,8 @@
         self.hosts[host].share.max(1e-6) * self.warmth(host)
     }
 
-    /// What hosts of another zone are held to carry unseen, by their size. Danger: a node beside few hosts would
-    /// crowd these while others stand idle. Each zone is held to carry as much as ours, on the hosts that it has.
+    /// What hosts of another zone are held to carry unseen, by their size. Danger: a node beside few hosts
+    /// would crowd these while others idle. Each zone is held to carry as much as ours, on its own hosts.
     fn local_burden(&self) -> f64 {
         let (mut score, mut near, mut away, mut zones) = (0.0, 0.0, 0.0, 0);
         for host in (0..self.hosts.len()).filter(|host| self.is_trusted(*host)) {
@@ -885,8 +885,8 @@
         self.hosts[host].setting_up -= 1;
         self.hosts[host].full_rest = Span::ZERO;
         self.judge(host, false);
-        // Danger: a host that goes under answers probes beside its work, and all that is open there earns nothing
-        // until it drops it. A setup waits behind that work: what it took too long, a message takes too.
+        // Danger: a host that goes under answers probes beside its work; what is open there earns nothing.
+        // A setup waits behind that work: what it took too long, a message takes too.
         if !self.terms.message_times {
             let usual = self.rates.usual_setup(took, self.calls[no].ahead);
             let slower = self.hosts[host].set_up_slower(took.seconds() - usual);
