--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -623,6 +623,7 @@
     }
 
     fn reject(&mut self, call: CallId, come_back: Option<Span>) {
+        tracing::debug!(call = call.0, "rejected");
         self.answer_call(call, Answer::Busy(come_back));
     }
 
--- a/src/book.rs
+++ b/src/book.rs
@@ -115,6 +115,8 @@
 pub(crate) struct Rates {
     pub tried: f64,
     pub failed: f64,
+    /// Open connections that broke of late.
+    pub broke: f64,
     pub arrivals: u32,
     pub arrival: f64,
     /// Connections that stand here for each unit of the hosts' size, as a rule.
@@ -128,8 +130,8 @@
 }
 
 impl Rates {
-    /// What stands here and how large the fleet is, now and as a rule; the rule follows over about the time that
-    /// connections and warm-ups take. Growth is usual at once, loss is not.
+    /// What stands here and how large the fleet is, now and as a rule; the rule follows over about the time
+    /// that connections and warm-ups take. Growth is usual at once, loss is not.
     pub fn weigh(&mut self, stand: usize, shares: f64, size: f64, first: f64) {
         let held = stand.max(1) as f64 / shares.max(1e-6);
         self.held += (held - self.held) * first.max(0.06);
@@ -140,9 +142,9 @@
     }
 
     /// What a setup may take at any host, in seconds: half as much again as those of late, and a third for
-    /// each that was ahead of it there, as a burst makes its own queue. One slow setup raises what is usual by
-    /// a fifth at most, so that a host going under does not hide itself; where all are slow, as with a slow
-    /// session store, five or so are enough to make that usual.
+    /// each that was ahead of it there, as a burst makes its own queue. One slow setup raises what is usual
+    /// by a fifth at most, so that a host going under does not hide itself; where all are slow, as with a
+    /// slow session store, five or so are enough to make that usual.
     pub fn usual_setup(&mut self, took: Span, ahead: u32) -> f64 {
         let took = took.seconds();
         let usual = if self.setup > 0.0 { self.setup } else { took };
@@ -322,9 +324,9 @@
     }
 }
 
-/// Carries what other nodes are held to have on each host on by one step: the part `leave` of it ends and comes
-/// again, all of it where the host has gone. Cold hosts are filled first, each by its own warmth and by no more
-/// than the second number; the rest goes to the others by their size.
+/// Carries what other nodes are held to have on each host on by one step: the part `leave` of it ends and
+/// comes again, all of it where the host has gone. Cold hosts are filled first, each by its own warmth and by
+/// no more than the second number; the rest goes to the others by their size.
 pub(crate) fn spread_held(hosts: &mut [Host], leave: f64, takes: &[(f64, f64)]) {
     let (mut loose, mut settled, mut shares) = (0.0, 0.0, 0.0);
     for (to, (warmth, _)) in hosts.iter_mut().zip(takes) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -70,10 +70,10 @@
     unseen(terms).powi(8)
 }
 
-/// Danger: nodes that start or lose their watch together ask together. The list's service falls behind, what waits
-/// too long there fails but is worked on, and asked again within seconds it never catches up: of 70 nodes that
-/// came back 66 heard nothing for the rest of the day. Many nodes spread their questions over two fifths of the
-/// time in which each has to ask; a fifth and three fifths were within the noise.
+/// Danger: nodes that start or lose their watch together ask together. The list's service falls behind, what
+/// waits too long there fails but is worked on, and asked again within seconds it never catches up: of 70
+/// nodes that came back 66 heard nothing for the rest of the day. Many nodes spread their questions over two
+/// fifths of the time in which each has to ask; a fifth and three fifths were within the noise.
 fn list_spread(terms: &Terms) -> Span {
     terms.ask_within.map_or(Span::ZERO, |within| within.times(0.4 * many(terms)))
 }
@@ -250,9 +250,9 @@
         self.hosts[host].budget >= if calm { fair } else { 1.0 }
     }
 
-    /// Danger: what a node saves up lapses, or a rush would spend it all at once; in a calm hardly a call meets
-    /// it, and a cold host stays empty beside crowded ones. New clients do not come in rushes: of many nodes each
-    /// sends a cold host such a part of them that all together send it what they may.
+    /// Danger: what a node saves up lapses, or a rush would spend it all at once; in a calm hardly a call
+    /// meets it, and a cold host stays empty beside crowded ones. New clients do not come in rushes: of many
+    /// nodes each sends a cold host such a part of them that all together send it what they may.
     fn newcomer_may_warm(&self, no: usize, host: usize) -> bool {
         let call = &self.calls[no].call;
         // A hundredth: fewer than a new client in 100 s says nothing of how many there are.
@@ -468,10 +468,11 @@
             let small = part * (near as f64) < 0.25;
             let foreign = if small { 1.0 } else { 1.0 - (10.0 * self.terms.crossing_price).min(1.0) };
             let mut usable = 0;
-            keys.extend(self.hosts.iter().map(|to| {
+            let many = self.many();
+            keys.extend(self.hosts.iter().enumerate().map(|(host, to)| {
                 let near = if to.zone == self.terms.zone { 1.0 } else { foreign };
                 // Danger: a cold host drawn by what it can do now is nobody's home while it warms up.
-                let weight = near * to.share;
+                let weight = near * to.share * (many + (1.0 - many) * self.warmth(host));
                 if to.condition != Condition::Ready || to.aside.is_some() || weight <= 0.0 {
                     return f64::INFINITY;
                 }
@@ -592,6 +593,7 @@
                 // Danger: a host that died takes all its connections along; the list says so seconds later.
                 // Three within a second that are a third of what it held are no chance.
                 self.cut_limit(host, self.weight(host));
+                self.rates.broke += 1.0;
                 let to = &mut self.hosts[host];
                 to.broke += 1;
                 if to.broke >= 3 && to.broke as usize * 3 >= to.legs.len() + to.broke as usize {
@@ -710,6 +712,7 @@
         self.likeness += (self.groups.alike() - self.likeness) * (1.0 / self.seconds as f64).max(0.06);
         self.rates.tried *= 0.8;
         self.rates.failed *= 0.8;
+        self.rates.broke *= 0.8;
         self.fill_budgets(elapsed);
         self.reckon(elapsed);
         if self.seconds.is_multiple_of(30) {
@@ -840,8 +843,8 @@
         self.rates.arrival += (seen - self.rates.arrival) * (1.0 / self.seconds as f64).max(0.06);
         let ready = self.hosts.iter().filter(|to| to.condition == Condition::Ready);
         let shares: f64 = ready.map(|to| to.share).sum();
-        // Danger: calls that wait, or hosts that are lost, would raise what a host seems to carry, and with it
-        // what cold ones are sent: connections that stand count, and what is usual follows them slowly.
+        // Danger: calls that wait, or hosts that are lost, would raise what a host seems to carry, and with
+        // it what cold ones are sent: connections that stand count, and what is usual follows them slowly.
         let stand = self.hosts.iter().map(|to| to.legs.len() - to.setting_up as usize).sum::<usize>();
         let ready = (0..self.hosts.len()).filter(|host| self.hosts[*host].condition == Condition::Ready);
         let size = ready.map(|host| self.size(host)).sum();
@@ -866,10 +869,10 @@
         }
     }
 
-    /// How much a second all nodes may send a cold host, in what a host of its size usually carries for one unit.
-    /// Danger: with a call in ten seconds, most nodes let lapse what they saved up by their arrivals, and hosts
-    /// that came back stay empty while the others go under. Three times the multiple of what fills a host once
-    /// in its warm-up; four times that broke the rule once in 24 days, twice that on none.
+    /// How much a second all nodes may send a cold host, in what a host of its size usually carries for one
+    /// unit. Danger: with a call in ten seconds, most nodes let lapse what they saved up by their arrivals,
+    /// and hosts that came back stay empty while the others go under. Three times the multiple of what fills
+    /// a host once in its warm-up; four times that broke the rule once in 24 days, twice that on none.
     fn warming_fill(&self, host: usize) -> f64 {
         let warming = &self.terms.warming;
         3.0 * warming.multiple * self.hosts[host].share / warming.after.seconds().max(1e-9)
@@ -932,14 +935,14 @@
         }
     }
 
-    /// Danger: when much of a large fleet is lost or cold, its clients come again at once to the hosts that are
-    /// left; these go under, drop connections, and those come again. As far as less is there than usual, a
-    /// node takes clients that come again up to that part of the connections that it usually has, and three
-    /// tenths more (none and six tenths were worse); the others hear at once when to return.
+    /// Danger: when much of a large fleet is lost or cold, its clients come again at once to the hosts that
+    /// are left; these go under, drop connections, and those come again. As far as less is there than usual,
+    /// a node on which connections broke within 5 s takes clients that come again up to that part of what it
+    /// usually has, and three tenths more (none and six were worse); the others hear at once when to return.
     fn is_beyond_part(&mut self, no: usize) -> bool {
         let call = self.calls[no].call;
         let part = 1.3 * self.rates.size / self.rates.usual_size.max(1e-9);
-        if !call.returning || call.mid_flow || part >= 1.0 || self.seconds == 0 {
+        if !call.returning || call.mid_flow || part >= 1.0 || self.rates.broke < 0.3 {
             return false;
         }
         let stand = self.hosts.iter().map(|to| to.legs.len()).sum::<usize>() as f64;
