--- /dev/null
+++ b/crates/node/src/admin.rs
@@ -0,0 +1,235 @@
+//! The operators' door: who calls there, and what each call does.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+
+use glendeck::domain::Span;
+use rustix::io::Errno;
+use rustix::net::{self, SocketFlags};
+use serde_json::{Value, json};
+use tracing::{debug, info, warn};
+
+use crate::conn::{self, Conn, Got};
+use crate::http::{Incoming, Method, Refusal, Request};
+use crate::service::{ConnId, Due, Phase, Role, Service};
+
+/// Callers at once. A scraper or two, an operator, and as many that are slow; their descriptors are kept back
+/// from the clients, so there are not more.
+pub const CALLERS: usize = 12;
+
+/// A caller that has not finished its call by then, or has not taken its answer, goes.
+const CALL_LIMIT: Span = Span::ms(5_000);
+
+/// What a caller may send on after its answer before it is cut off.
+const DISCARD: usize = 64 << 10;
+
+pub struct Caller {
+    id: ConnId,
+    incoming: Incoming,
+    answered: bool,
+}
+
+/// The address for operators alone, if there is one, and those who call there, the longest waiting first.
+#[derive(Default)]
+pub struct Door {
+    pub listener: Option<OwnedFd>,
+    pub callers: VecDeque<Caller>,
+}
+
+impl Door {
+    pub fn open(address: Option<SocketAddr>) -> Result<Door, (SocketAddr, Errno)> {
+        let listener = address.map(|address| conn::listen(address).map_err(|fault| (address, fault)));
+        Ok(Door { listener: listener.transpose()?, callers: VecDeque::new() })
+    }
+}
+
+/// An answer: its status, and what else its head says.
+struct Reply {
+    status: u16,
+    allow: Option<&'static str>,
+    body: Value,
+}
+
+fn say(status: u16, body: Value) -> Reply {
+    Reply { status, allow: None, body }
+}
+
+fn phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        505 => "HTTP Version Not Supported",
+        _ => "Error",
+    }
+}
+
+fn encode(reply: &Reply, with_body: bool, out: &mut Vec<u8>) {
+    let body = reply.body.to_string();
+    let allow = reply.allow.map_or(String::new(), |methods| format!("Allow: {methods}\r\n"));
+    let head = format!(
+        "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n{allow}Cache-Control: no-store\r\n\
+         Connection: close\r\n\r\n",
+        reply.status,
+        phrase(reply.status),
+        body.len() + 1,
+    );
+    out.extend_from_slice(head.as_bytes());
+    if with_body {
+        out.extend_from_slice(body.as_bytes());
+        out.push(b'\n');
+    }
+}
+
+impl Service {
+    pub fn is_of_the_door(&self, number: u64) -> bool {
+        number == crate::service::DOOR || self.role(ConnId(number)) == Some(Role::Admin)
+    }
+
+    pub fn accept_callers(&mut self) {
+        for _ in 0..CALLERS {
+            let Some(listener) = &self.door.listener else { return };
+            match net::accept_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
+                Ok(fd) => {
+                    self.make_place();
+                    if let Some(id) = self.add_conn(Conn::new(fd, false), Role::Admin) {
+                        let (incoming, answered) = (Incoming::default(), false);
+                        self.door.callers.push_back(Caller { id, incoming, answered });
+                        self.deadlines.set(self.now + CALL_LIMIT, Due::Caller(id));
+                    }
+                }
+                Err(Errno::INTR | Errno::CONNABORTED) => {}
+                Err(Errno::AGAIN) => return,
+                Err(fault) => {
+                    // Its descriptors are kept back: the next event tries again.
+                    warn!(%fault, "cannot accept at the operators' door");
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Danger: callers that finish no call hold every place, and a good one waits. The one that came first goes;
+    /// one whose call is whole has been answered, and goes only when its answer has.
+    fn make_place(&mut self) {
+        while self.door.callers.len() >= CALLERS {
+            let sent =
+                |caller: &Caller| self.conns.get(caller.id.0).is_none_or(|seat| seat.conn.unsent() == 0);
+            let callers = &self.door.callers;
+            let done = callers.iter().position(|caller| caller.answered && sent(caller));
+            let slow = callers.iter().position(|caller| !caller.answered);
+            let Some(caller) = callers.get(done.or(slow).unwrap_or(0)) else { return };
+            self.drop_caller(caller.id);
+        }
+    }
+
+    pub fn drop_caller(&mut self, id: ConnId) {
+        if self.role(id) == Some(Role::Admin) {
+            self.door.callers.retain(|caller| caller.id != id);
+            self.drop_conn(id);
+        }
+    }
+
+    /// Once its answer has gone and it has ended its side, or sends on without end.
+    pub fn caller_over(&mut self, id: ConnId) {
+        if self.conns.get(id.0).is_some_and(|seat| seat.conn.is_over() || seat.conn.discarded > DISCARD) {
+            self.drop_caller(id);
+        }
+    }
+
+    pub fn caller_came(&mut self, id: ConnId, got: Got) {
+        let Some(at) = self.door.callers.iter().position(|caller| caller.id == id) else { return };
+        let caller = &mut self.door.callers[at];
+        let Some(seat) = self.conns.get_mut(id.0) else { return };
+        let read = match got {
+            Got::NothingYet => return,
+            Got::End if caller.answered => return self.caller_over(id),
+            // Nobody gets to hear an answer to half a call.
+            Got::End => return self.drop_caller(id),
+            Got::Bytes(n) if caller.answered => {
+                seat.conn.discarded += n;
+                return self.caller_over(id);
+            }
+            Got::Bytes(n) => {
+                seat.conn.inbox.extend_from_slice(&self.scratch[..n]);
+                caller.incoming.read(&mut seat.conn.inbox)
+            }
+        };
+        let (reply, with_body) = match read {
+            Ok(None) => return,
+            Ok(Some(request)) => (self.answer_caller(&request), request.method != Method::Head),
+            Err(refusal) => {
+                debug!(%refusal, "a call at the operators' door");
+                (say(refusal.status(), json!({"error": refusal.to_string()})), true)
+            }
+        };
+        self.door.callers[at].answered = true;
+        if let Some(seat) = self.conns.get_mut(id.0) {
+            encode(&reply, with_body, &mut seat.conn.outbox);
+            seat.conn.inbox = Vec::new();
+            seat.conn.finish = true;
+        }
+        self.pump(id);
+    }
+
+    fn answer_caller(&mut self, request: &Request) -> Reply {
+        let path = request.path.split('?').next().unwrap_or_default();
+        let allow = match path {
+            "/v1/readyz" | "/v1/metrics" => "GET, HEAD",
+            "/v1/node/drain" | "/v1/node/activate" => "POST",
+            _ => return say(404, json!({"error": "no such path"})),
+        };
+        let reads = matches!(request.method, Method::Get | Method::Head);
+        if !(reads && allow != "POST" || request.method == Method::Post && allow == "POST") {
+            return Reply { allow: Some(allow), ..say(405, json!({"error": "not with this method"})) };
+        }
+        match path {
+            "/v1/readyz" => {
+                let status = if self.phase == Phase::Serving { 200 } else { 503 };
+                say(status, json!({"ready": status == 200, "phase": self.phase.name()}))
+            }
+            "/v1/metrics" => say(200, self.figures()),
+            path => {
+                info!(call = path, phase = self.phase.name(), "operators");
+                let done = if path == "/v1/node/drain" {
+                    self.drain();
+                    true
+                } else {
+                    self.activate()
+                };
+                say(if done { 200 } else { 409 }, json!({"done": done, "phase": self.phase.name()}))
+            }
+        }
+    }
+}
+
+impl Refusal {
+    fn status(&self) -> u16 {
+        match self {
+            Refusal::Head => 400,
+            Refusal::Version => 505,
+            Refusal::HeadTooLarge => 431,
+            Refusal::BodyTooLarge => 413,
+            Refusal::Coding => 501,
+        }
+    }
+}
+
+impl Phase {
+    fn name(self) -> &'static str {
+        match self {
+            Phase::Starting => "starting",
+            Phase::Serving => "serving",
+            Phase::Draining { .. } => "draining",
+            Phase::Leaving { .. } => "leaving",
+            Phase::Left => "left",
+        }
+    }
+}
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -6,6 +6,7 @@
 use tracing::{debug, warn};
 
 use crate::conn::{Conn, Got, MUCH};
+use crate::figures::Outcome;
 use crate::line::{self, Answer, First, Opening};
 use crate::service::{ConnId, Due, Held, Phase, Role, Seat, Service, Stage};
 
@@ -160,12 +161,14 @@
         // Danger: two connections of one id are one call to the hosts, and the owner's would be disturbed.
         if self.ids.contains(&opening.id) {
             debug!("a client's id is open already");
+            self.figures.count(opening.traffic, Outcome::Failure);
             return self.answer_conn(id, Answer::Error);
         }
         let leaving = matches!(self.phase, Phase::Leaving { .. });
         if leaving || !self.has_room() {
             let come_back = self.startup.terms.come_back.map(|most| most.min(COME_BACK));
             debug!(leaving, "busy");
+            self.figures.count(opening.traffic, Outcome::Busy);
             return self.answer_conn(id, Answer::Busy(come_back));
         }
         self.ids.insert(opening.id);
@@ -201,6 +204,10 @@
 
     /// The call's one answer, when no host gave it.
     pub fn answer_call(&mut self, id: CallId, answer: Answer) {
+        if let Some(held) = self.calls.get_mut(id.0) {
+            let busy = matches!(answer, Answer::Busy(_));
+            held.outcome = Some(if busy { Outcome::Busy } else { Outcome::Failure });
+        }
         let Some(held) = self.forget_call(id) else { return };
         if let Some(client) = held.client {
             self.answer_conn(client, answer);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -32,6 +32,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators are heard, if anywhere.
+    pub admin: Option<SocketAddr>,
     pub seed: u64,
     /// How many descriptors the process may hold.
     pub descriptors: usize,
@@ -51,6 +53,7 @@
         let later = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
+            ("admin", self.admin != new.admin),
             ("settings", self.terms != new.terms || self.names != new.names || self.zones != new.zones),
         ];
         (self.discovery, self.descriptors) = (new.discovery, new.descriptors);
@@ -95,6 +98,8 @@
     let address = |(key, value): (&'static str, String)| {
         value.parse::<SocketAddr>().map_err(|_| bad(key, &value, "an address and a port"))
     };
+    let told = variable("ROUTER_ADMIN").is_some() || json.get("admin").is_some_and(|admin| !admin.is_null());
+    let admin = if told { Some(address(given("ROUTER_ADMIN", "admin")?)?) } else { None };
     let seed = text_at(&json, "seed")?;
     let settings = json.get("settings").ok_or_else(|| missing("settings"))?;
     let pairs = Pairs::from_json(settings);
@@ -111,6 +116,7 @@
         name: given("ROUTER_NAME", "name")?.1,
         listen: address(given("ROUTER_LISTEN", "listen")?)?,
         discovery: address(given("ROUTER_DISCOVERY", "discovery")?)?,
+        admin,
         seed: u64::from_str_radix(seed, 16).map_err(|_| bad("seed", seed, "up to 16 hexadecimal digits"))?,
         descriptors: descriptors(&json)?,
         names: Names {
@@ -188,6 +194,8 @@
     #[test_case("", "", None; "good")]
     #[test_case("\"0f\"", "\"xyz\"", Some("seed"); "a seed that is no number")]
     #[test_case("127.0.0.1:3000", "here", Some("listen"); "a listening address that is none")]
+    #[test_case("\"seed\":", "\"admin\":\"door\",\"seed\":", Some("admin"); "an operators' address that is none")]
+    #[test_case("\"seed\":", "\"admin\":null,\"seed\":", None; "no operators' address")]
     #[test_case("\"discovery\":", "\"other\":", Some("discovery"); "a missing key")]
     #[test_case("256", "12", Some("limits.sockets"); "too few descriptors")]
     #[test_case("[\"x\"]", "7", Some("settings.dcs"); "zones that are no list")]
--- a/crates/node/src/conn.rs
+++ b/crates/node/src/conn.rs
@@ -24,6 +24,8 @@
     /// After what is to be sent, our sending ends.
     pub finish: bool,
     write_ended: bool,
+    /// Sending failed: what was still to go never went.
+    pub broken: bool,
     /// How much came after its last words and was thrown away.
     pub discarded: usize,
     /// What the reactor watches for now.
@@ -70,6 +72,7 @@
             read_ended: false,
             finish: false,
             write_ended: false,
+            broken: false,
             discarded: 0,
             watched,
         }
@@ -117,8 +120,19 @@
         }
     }
 
-    /// Sends what the socket takes now; when all has gone and sending is to end, ends it.
+    /// Sends what the socket takes now. Danger: what did not go must not look as if it had, nor be counted from
+    /// where a later line begins.
     pub fn flush(&mut self) -> Result<(), Errno> {
+        let flushed = self.send_out();
+        if flushed.is_err() {
+            self.outbox.clear();
+            (self.sent, self.broken) = (0, true);
+        }
+        flushed
+    }
+
+    /// When all has gone and sending is to end, ends it.
+    fn send_out(&mut self) -> Result<(), Errno> {
         if self.connecting {
             return Ok(());
         }
--- /dev/null
+++ b/crates/node/src/figures.rs
@@ -0,0 +1,67 @@
+//! What the node shows of itself: counted where a thing happens, put together when somebody asks.
+
+use glendeck::domain::TrafficId;
+use serde_json::{Map, Value, json};
+
+use crate::service::Service;
+
+/// How a call ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Its connection came up.
+    Success,
+    /// Turned away: a new try does no harm.
+    Busy,
+    Failure,
+}
+
+#[derive(Clone, Default)]
+struct Outcomes {
+    success: u64,
+    busy: u64,
+    failure: u64,
+}
+
+/// Counts since the start of the process.
+pub struct Figures {
+    of_type: Vec<(String, Outcomes)>,
+    /// Legs whose line was written to a host whole.
+    pub legs: u64,
+}
+
+impl Figures {
+    /// All types are there from the start, with 0.
+    pub fn new(names: &[String]) -> Figures {
+        Figures { of_type: names.iter().map(|name| (name.clone(), Outcomes::default())).collect(), legs: 0 }
+    }
+
+    /// Danger: called once for each call that was read, or sums would drift from what clients saw: when its
+    /// connection comes up, when it is turned away unread by the decisions, or when it is forgotten unopened.
+    pub fn count(&mut self, traffic: TrafficId, outcome: Outcome) {
+        if let Some((_, counts)) = self.of_type.get_mut(usize::from(traffic.0)) {
+            match outcome {
+                Outcome::Success => counts.success += 1,
+                Outcome::Busy => counts.busy += 1,
+                Outcome::Failure => counts.failure += 1,
+            }
+        }
+    }
+}
+
+impl Service {
+    pub fn figures(&mut self) -> Value {
+        let of_type = self.figures.of_type.iter().map(|(name, n)| {
+            (name.clone(), json!({"success": n.success, "busy": n.busy, "failure": n.failure}))
+        });
+        let calls: Map<String, Value> = of_type.collect();
+        let slowest = std::mem::take(&mut self.slowest_turn);
+        json!({
+            "calls": calls,
+            "backend_calls": self.figures.legs,
+            "inflight": self.calls.len(),
+            "hosts_listed": self.hosts.listed().count(),
+            "hosts_down": self.hosts.listed().filter(|host| self.avoids(*host)).count(),
+            "slowest_turn_ms": slowest.seconds() * 1e3,
+        })
+    }
+}
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -8,9 +8,10 @@
 use tracing::{debug, warn};
 
 use crate::conn::{Conn, Got, MUCH};
+use crate::figures::Outcome;
 use crate::line::{self, Word};
 use crate::list::Told;
-use crate::service::{ConnId, Due, Held, Leg, LegEnd, Role, Service, Stage};
+use crate::service::{ConnId, Due, Held, Leg, LegEnd, Role, Seat, Service, Stage};
 
 /// How long a host may bring nothing back on a connection that asked it something. A host that is well
 /// answers within milliseconds, however crowded; this leaves room for TCP to send again three times (after 0.2,
@@ -69,6 +70,11 @@
         self.0.values().any(|known| known.condition == Condition::Ready)
     }
 
+    /// The hosts in the list.
+    pub fn listed(&self) -> impl Iterator<Item = HostId> {
+        self.0.iter().filter(|(_, known)| known.condition != Condition::Gone).map(|(host, _)| *host)
+    }
+
     fn is_leaving(&self, host: HostId) -> bool {
         self.0.get(&host).is_some_and(|known| known.condition == Condition::Draining)
     }
@@ -101,7 +107,7 @@
         };
         self.legs_out += 1;
         if let Some(held) = self.calls.get_mut(id.0) {
-            held.leg = Some(Leg { no, host, conn, limit, sent: self.now, line_out: false });
+            held.leg = Some(Leg { no, host, conn, limit, sent: self.now, line_out: false, line_gone: false });
         }
         debug!(call = id.0, leg = no.0, host = host.0, within_ms = within.0 / 1_000_000, "leg");
         self.deadlines.set(limit, Due::Leg(id, no));
@@ -128,9 +134,14 @@
         self.pump(id);
     }
 
-    /// Whether the last byte of the line has gone: before that the host never ran it, after that it may have.
-    fn line_went(&self, leg: &Leg) -> bool {
-        leg.line_out && self.conns.get(leg.conn.0).is_some_and(|seat| seat.conn.unsent() == 0)
+    /// Notes when the last byte of the line has gone: before that the host never ran it, after that it may have.
+    pub fn note_line_gone(&mut self, call: CallId) {
+        let Some(leg) = self.calls.get_mut(call.0).and_then(|held| held.leg.as_mut()) else { return };
+        let gone = |seat: &Seat| seat.conn.unsent() == 0 && !seat.conn.broken;
+        if leg.line_out && !leg.line_gone && self.conns.get(leg.conn.0).is_some_and(gone) {
+            leg.line_gone = true;
+            self.figures.legs += 1;
+        }
     }
 
     pub fn leg_limit(&mut self, id: CallId, no: LegNo, connecting_only: bool) {
@@ -141,7 +152,7 @@
         }
         let connecting = self.conns.get(leg.conn.0).is_some_and(|seat| seat.conn.connecting);
         if connecting || !connecting_only {
-            let ending = if self.line_went(leg) { Ending::TimedOut } else { Ending::Unreachable };
+            let ending = if leg.line_gone { Ending::TimedOut } else { Ending::Unreachable };
             self.end_leg(id, ending, None);
         }
     }
@@ -210,7 +221,7 @@
         match held.stage {
             Stage::Open | Stage::Ending => self.host_ended(call, true),
             _ => {
-                let ending = if self.line_went(leg) { Ending::Broken } else { Ending::Unreachable };
+                let ending = if leg.line_gone { Ending::Broken } else { Ending::Unreachable };
                 self.end_leg(call, ending, None);
             }
         }
@@ -284,6 +295,7 @@
         };
         let returning = held.stage == Stage::Returning;
         held.stage = Stage::Open;
+        self.figures.count(held.call.traffic, Outcome::Success);
         let (no, host, took, of) = (leg.no, leg.host, self.now.since(leg.sent), held.call);
         debug!(call = call.0, leg = no.0, host = host.0, took_ms = took.0 / 1_000_000, "up");
         if let Some(seat) = self.conns.get_mut(client.0) {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,10 +1,12 @@
 //! One node: the decisions on real sockets. Starts, serves until it is told to end, and says by its exit code
 //! whether all went well.
 
+mod admin;
 mod clients;
 mod config;
 mod conn;
 mod deadlines;
+mod figures;
 mod hosts;
 mod http;
 mod line;
--- a/crates/node/src/reactor.rs
+++ b/crates/node/src/reactor.rs
@@ -13,8 +13,9 @@
     events: Vec<epoll::Event>,
 }
 
-/// Events taken at once; more are taken in the next turn.
-const BATCH: usize = 256;
+/// Events taken at once; more are taken in the next turn. As many as a process has descriptors as a rule, so
+/// that operators' calls are among them, however many clients are ready.
+const BATCH: usize = 1024;
 
 impl Reactor {
     pub fn new() -> Result<Reactor, Errno> {
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -10,14 +10,17 @@
 use glendeck::domain::{Call, CallId, Ending, HostId, LegNo, Span, Time, Token};
 use glendeck::port::Port;
 use glendeck::rules::Node;
+use nanorand::{Rng, WyRand};
 use rustc_hash::FxHashSet;
 use rustix::io::Errno;
 use tracing::{error, info, warn};
 
+use crate::admin::{CALLERS, Door};
 use crate::clients::FIRST_LINE;
 use crate::config::{self, Startup};
 use crate::conn::{self, Conn, Got, MUCH};
 use crate::deadlines::Deadlines;
+use crate::figures::{Figures, Outcome};
 use crate::hosts::Directory;
 use crate::line::{Answer, ClientId, LONGEST, Word};
 use crate::list::{Ask, List};
@@ -40,6 +43,10 @@
     /// It listens, but knows no host yet.
     Starting,
     Serving,
+    /// Operators want it empty: it takes what the front still sends and sends clients away, but stays.
+    Draining {
+        since: Time,
+    },
     /// It was told to end: clients are sent away until then.
     Leaving {
         until: Time,
@@ -60,6 +67,8 @@
     /// A question for the list, and when its answer is given up.
     List(Ask, Time),
     Closing,
+    /// Someone at the operators' door.
+    Admin,
 }
 
 pub struct Seat {
@@ -90,6 +99,8 @@
     pub limit: Time,
     /// The client's line was handed to the socket.
     pub line_out: bool,
+    /// Its last byte has gone.
+    pub line_gone: bool,
 }
 
 /// A call in hand.
@@ -108,6 +119,8 @@
     pub silence_set: bool,
     /// The host's last word, if it ended the connection with one.
     pub last: Option<Word>,
+    /// What its client was told, if it never opened.
+    pub outcome: Option<Outcome>,
 }
 
 impl Held {
@@ -133,6 +146,7 @@
             asked: None,
             silence_set: false,
             last: None,
+            outcome: None,
         }
     }
 }
@@ -155,6 +169,11 @@
     Silence(CallId),
     Linger(CallId),
     Move(CallId),
+    /// The drain of this number has sent all it could wait for; one client of it goes.
+    Drain(u32),
+    DrainMove(u32, CallId),
+    DrainEnd(u32),
+    Caller(ConnId),
     Probe(ConnId),
     ListLimit(ConnId),
     FirstLine(ConnId),
@@ -189,6 +208,13 @@
     reactor: Reactor,
     pub deadlines: Deadlines<Due>,
     pub listener: OwnedFd,
+    pub door: Door,
+    pub figures: Figures,
+    /// Drains so far.
+    pub drains: u32,
+    /// The longest turn of the loop since somebody asked.
+    pub slowest_turn: Span,
+    chance: WyRand,
     /// SIGTERM and SIGHUP each write here.
     signals: UnixStream,
     reloads: UnixStream,
@@ -220,6 +246,7 @@
 const LISTENER: u64 = u64::MAX;
 const SIGNALS: u64 = u64::MAX - 1;
 const RELOADS: u64 = u64::MAX - 2;
+pub const DOOR: u64 = u64::MAX - 3;
 
 /// Standard streams, epoll, the listening socket, two ends for each of two signals, and one to accept with or
 /// to read the configuration from.
@@ -232,6 +259,17 @@
 const LONGEST_LEAVE: Span = Span::ms(3_000);
 const LEAVE_MORE: Span = Span::ms(400);
 
+/// After a call to drain the front asks within 0.1 s and sends new clients for 0.2 s more.
+const STILL_SENT: Span = Span::ms(350);
+
+/// Clients that stood when the front stopped are sent away by now, each at its own moment; those whose calls
+/// waited, by then; a drained node is looked at after 4 s.
+const DRAINED: Span = Span::ms(3_000);
+const EMPTY: Span = Span::ms(3_600);
+
+/// Those that open while the node leaves go within so long.
+const LATE: Span = Span::ms(300);
+
 /// The last clients are sent away this long before the exit, so that their connections end in peace.
 const LAST_MOVES: Span = Span::ms(500);
 
@@ -246,6 +284,11 @@
         let listener = conn::listen(address).map_err(|fault| ServiceFault::Listen { address, fault })?;
         let reactor = Reactor::new()?;
         reactor.add(&listener, LISTENER, Flags::IN)?;
+        let door =
+            Door::open(startup.admin).map_err(|(address, fault)| ServiceFault::Listen { address, fault })?;
+        if let Some(listener) = &door.listener {
+            reactor.add(listener, DOOR, Flags::IN)?;
+        }
         let signals = signalled(signal_hook::consts::SIGTERM)?;
         reactor.add(&signals, SIGNALS, Flags::IN)?;
         // Danger: unhandled, this signal ends the process and all its connections.
@@ -259,6 +302,12 @@
             reactor,
             deadlines: Deadlines::default(),
             listener,
+            door,
+            figures: Figures::new(&startup.names.traffic),
+            drains: 0,
+            slowest_turn: Span::ZERO,
+            // Apart from the decisions' own chances.
+            chance: WyRand::new_seed(!startup.seed),
             signals,
             reloads,
             conns: Slots::default(),
@@ -295,15 +344,22 @@
             let wait = self.deadlines.wait(self.clock.now());
             let events = self.reactor.wait(wait)?;
             self.now = self.clock.now();
-            for at in 0..events {
-                if let Some((number, flags)) = self.reactor.event(at) {
-                    self.happened(number, flags);
+            let began = self.now;
+            // Danger: operators get their answer within a second, however many clients are ready.
+            for of_the_door in [true, false] {
+                for at in 0..events {
+                    if let Some((number, flags)) = self.reactor.event(at)
+                        && self.is_of_the_door(number) == of_the_door
+                    {
+                        self.happened(number, flags);
+                    }
                 }
             }
             self.now = self.clock.now();
             while let Some(due) = self.deadlines.next_due(self.now) {
                 self.fell_due(due);
             }
+            self.slowest_turn = self.slowest_turn.max(self.clock.now().since(began));
         }
         Ok(())
     }
@@ -311,6 +367,7 @@
     fn happened(&mut self, number: u64, flags: Flags) {
         match number {
             LISTENER => return self.accept(),
+            DOOR => return self.accept_callers(),
             SIGNALS => {
                 let mut signals = [0; 16];
                 if self.signals.read(&mut signals).is_ok() {
@@ -358,6 +415,7 @@
             }
             Role::Host(call) => self.calls.get(call.0).and_then(|held| held.client),
             Role::Closing => return self.closing_came(id),
+            Role::Admin => return self.caller_over(id),
             _ => None,
         };
         if let Some(other) = other
@@ -390,6 +448,7 @@
             Role::Host(call) => self.host_came(id, call, got),
             Role::Probe(host) => self.probe_came(id, host, got),
             Role::List(ask, _) => self.list_came(id, ask, got),
+            Role::Admin => self.caller_came(id, got),
             Role::Closing => {
                 if let Got::Bytes(n) = got {
                     seat.conn.discarded += n;
@@ -410,6 +469,7 @@
             Role::Probe(host) => self.probe_over(id, host, Ending::Unreachable),
             Role::List(ask, _) => self.list_lost(id, ask),
             Role::Closing => self.drop_conn(id),
+            Role::Admin => self.drop_caller(id),
         }
     }
 
@@ -423,6 +483,14 @@
             Due::Silence(call) => self.check_silence(call),
             Due::Linger(call) => self.linger_over(call),
             Due::Move(call) => self.move_client(call, Ending::Recalled),
+            Due::Drain(no) => self.drain_clients(no),
+            Due::DrainMove(no, call) => {
+                if self.is_drain(no) {
+                    self.move_client(call, Ending::Recalled);
+                }
+            }
+            Due::DrainEnd(no) => self.drain_ends(no),
+            Due::Caller(id) => self.drop_caller(id),
             Due::Probe(id) => {
                 if let Some(Role::Probe(host)) = self.role(id) {
                     self.probe_over(id, host, Ending::TimedOut);
@@ -497,11 +565,74 @@
         }
     }
 
-    /// A connection that opens while the node leaves goes with the last ones.
+    /// A connection that opens while the node sends its clients away goes with the last ones. Danger: sent
+    /// together, they come back together; each goes at a moment of its own.
     pub fn move_before_leaving(&mut self, call: CallId) {
-        if let Phase::Leaving { until } = self.phase {
-            let due = (until - LAST_MOVES).max(self.now + Span::ms(1));
-            self.deadlines.set(due, Due::Move(call));
+        let (first, last) = match self.phase {
+            Phase::Leaving { until } => (until - LAST_MOVES - LATE, until - LAST_MOVES),
+            Phase::Draining { since } if self.now >= since + STILL_SENT => (self.now, since + EMPTY),
+            _ => return,
+        };
+        let (first, at) = (first.max(self.now + Span::ms(1)), f64::from(self.chance.generate::<f32>()));
+        let due = first + last.since(first).times(at);
+        match self.phase {
+            Phase::Draining { .. } => self.deadlines.set(due, Due::DrainMove(self.drains, call)),
+            _ => self.deadlines.set(due, Due::Move(call)),
+        }
+    }
+
+    // Draining.
+
+    /// Told again, it goes on as it was. From the first moment the front hears no yes.
+    pub fn drain(&mut self) {
+        if matches!(self.phase, Phase::Starting | Phase::Serving) {
+            info!(calls = self.calls.len(), "draining");
+            self.phase = Phase::Draining { since: self.now };
+            self.drains += 1;
+            self.deadlines.set(self.now + STILL_SENT, Due::Drain(self.drains));
+            self.deadlines.set(self.now + EMPTY, Due::DrainEnd(self.drains));
+        }
+    }
+
+    /// Ends a drain; one that is leaving cannot come back.
+    pub fn activate(&mut self) -> bool {
+        if let Phase::Draining { .. } = self.phase {
+            info!(calls = self.calls.len(), "active again");
+            self.phase = Phase::Starting;
+            self.ready_now();
+        }
+        !matches!(self.phase, Phase::Leaving { .. } | Phase::Left)
+    }
+
+    /// Danger: what an earlier drain has set is still in the deadlines after its end, and after the next.
+    fn is_drain(&self, no: u32) -> bool {
+        matches!(self.phase, Phase::Draining { .. }) && self.drains == no
+    }
+
+    fn open_calls(&self) -> Vec<CallId> {
+        let open = self.calls.iter().filter(|(_, held)| held.stage == Stage::Open);
+        open.map(|(number, _)| CallId(number)).collect()
+    }
+
+    /// The front sends no more: what stands goes one by one.
+    fn drain_clients(&mut self, no: u32) {
+        let Phase::Draining { since } = self.phase else { return };
+        if self.is_drain(no) {
+            let (open, span) = (self.open_calls(), (since + DRAINED).since(self.now));
+            for (at, call) in open.iter().enumerate() {
+                let due = self.now + span.times(at as f64 / open.len() as f64);
+                self.deadlines.set(due, Due::DrainMove(no, *call));
+            }
+        }
+    }
+
+    /// Whatever is still open goes now.
+    fn drain_ends(&mut self, no: u32) {
+        if self.is_drain(no) {
+            for call in self.open_calls() {
+                self.move_client(call, Ending::Recalled);
+            }
+            info!(calls = self.calls.len(), "drained");
         }
     }
 
@@ -527,16 +658,26 @@
 
     /// Descriptors in use, and those that the calls in hand will need.
     pub fn descriptors(&self) -> usize {
-        OWN + self.conns.len() + self.calls.len() - self.legs_out.min(self.calls.len())
+        self.kept_back() + self.conns.len() - self.door.callers.len() + self.calls.len()
+            - self.legs_out.min(self.calls.len())
     }
 
     /// Descriptors that the calls in hand need when all have their legs.
     pub fn committed(&self) -> usize {
-        OWN + 2 * self.calls.len()
+        self.kept_back() + 2 * self.calls.len()
+    }
+
+    /// What the node needs for itself, and for the operators' door however many clients there are.
+    fn kept_back(&self) -> usize {
+        OWN + if self.door.listener.is_some() { 1 + CALLERS } else { 0 }
     }
 
+    /// Takes a call out of the tables. One that never opened has its outcome here, one that did when it did.
     pub fn forget_call(&mut self, call: CallId) -> Option<Held> {
         let held = self.calls.remove(call.0)?;
+        if matches!(held.stage, Stage::Waiting | Stage::Returning) {
+            self.figures.count(held.call.traffic, held.outcome.unwrap_or(Outcome::Failure));
+        }
         self.ids.remove(&held.id);
         Some(held)
     }
@@ -555,8 +696,9 @@
     /// Sends what can be sent. What breaks on the way shows in the next event.
     pub fn pump(&mut self, id: ConnId) {
         let Some(seat) = self.conns.get_mut(id.0) else { return };
-        if seat.conn.flush().is_err() {
-            seat.conn.outbox.clear();
+        let _ = seat.conn.flush();
+        if let Role::Host(call) = seat.role {
+            self.note_line_gone(call);
         }
         self.watch_conn(id);
     }
@@ -595,6 +737,11 @@
         }
     }
 
+    /// Whether the decisions keep away from a host now.
+    pub fn avoids(&self, host: HostId) -> bool {
+        self.node.as_ref().is_some_and(|node| node.avoids(host))
+    }
+
     pub fn settle(&mut self) {
         let Some(mut node) = self.node.take() else { return };
         let now = self.now;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -518,9 +518,7 @@
 
     /// Share of its capacity that a host has for certain by now.
     fn warmth(&self, host: usize) -> f64 {
-        let Some(up) = self.hosts[host].up_since else {
-            return 1.0;
-        };
+        let Some(up) = self.hosts[host].up_since else { return 1.0 };
         let warming = &self.terms.warming;
         let done = self.now.since(up).seconds() / warming.after.seconds().max(1e-9);
         warming.from + (1.0 - warming.from) * done.min(1.0)
@@ -559,9 +557,7 @@
     // What legs teach.
 
     fn take_back(&mut self, no: usize, ended: Ended, _: &mut dyn Port) -> Back {
-        let Some((host, place)) = self.calls[no].out.take() else {
-            return Back::Done;
-        };
+        let Some((host, place)) = self.calls[no].out.take() else { return Back::Done };
         if !ended.was_set_up {
             self.hosts[host].setting_up -= 1;
         }
@@ -919,6 +915,11 @@
         f64::from(self.rng.generate::<f32>())
     }
 
+    /// Whether a host is set aside now; for who wants to see it.
+    pub fn avoids(&self, host: HostId) -> bool {
+        self.host_no.get(&host).is_some_and(|host| self.hosts[*host].aside.is_some())
+    }
+
     // What happens.
 
     pub fn call_taken(&mut self, now: Time, call: Call, port: &mut dyn Port) {
