Clients that another node sent away open its zone's hosts and our limits

Two reasons: limits in connections of ours, cut while the other node's clients crowded a host, kept them out of it (1 to 2 connections, +2% a second); and foreign hosts were held to carry as much as ours, and to be nobody's home, though their clients stood here. Ruled out: strain, probes, hosts set aside (none). At fault: local_burden, find_homes and the limits in relieve. Change: clients that come again and did not leave here, as far as more stand here than usual, are held to have left other hosts (taken_over).

--- a/src/book.rs
+++ b/src/book.rs
@@ -14,6 +14,8 @@
     pub set_up: bool,
     pub answered: bool,
     pub held: bool,
+    /// It came again and did not leave here.
+    pub guest: bool,
     pub leaving: bool,
     pub load: Option<f64>,
     /// The first leg that may have run: its host and when it was sent.
@@ -108,6 +110,38 @@
     pub told_load: f64,
     pub told: u32,
     pub mean: f64,
+    /// What those of each traffic type had in the mean; 0 before the first.
+    pub of_type: Vec<f64>,
+}
+
+impl Loads {
+    /// A twentieth: the mean of some twenty connections, from the mean of all on.
+    pub fn learn(&mut self, traffic: TrafficId, load: f64) {
+        let mean = &mut self.of_type[usize::from(traffic.0)];
+        *mean = if *mean > 0.0 { *mean } else { self.mean };
+        *mean += 0.05 * (load - *mean);
+    }
+}
+
+/// Loads that connections had when they ended, of this half minute and the one before.
+#[derive(Default)]
+pub(crate) struct Remembered([FxHashMap<SubjectId, f64>; 2]);
+
+impl Remembered {
+    pub fn load(&self, subject: SubjectId) -> Option<f64> {
+        self.0.iter().find_map(|loads| loads.get(&subject).copied())
+    }
+
+    pub fn keep(&mut self, subject: Option<SubjectId>, load: Option<f64>) {
+        if let (Some(subject), Some(load)) = (subject, load) {
+            self.0[0].insert(subject, load);
+        }
+    }
+
+    pub fn turn(&mut self) {
+        self.0.swap(0, 1);
+        self.0[0].clear();
+    }
 }
 
 /// Legs of late, and new clients.
@@ -125,6 +159,8 @@
     pub usual_conns: f64,
     pub size: f64,
     pub usual_size: f64,
+    /// Calls in hand of clients that came again and did not leave here.
+    pub guests: f64,
     /// What a setup takes, in seconds; 0 before the first.
     pub setup: f64,
 }
@@ -141,6 +177,13 @@
         self.usual_size = usual + (size - usual) * 0.02;
     }
 
+    /// Clients that other nodes sent away and that are here now. Where clients come and go between nodes all
+    /// have guests, and none has more than usual; who has no rule yet knows nothing of them.
+    pub fn taken_over(&self, stand: usize) -> f64 {
+        let more = stand as f64 - self.usual_conns;
+        if self.usual_conns > 0.0 { self.guests.min(more).max(0.0) } else { 0.0 }
+    }
+
     /// What a setup may take at any host, in seconds: half as much again as those of late, and a third for
     /// each that was ahead of it there, as a burst makes its own queue. One slow setup raises what is usual
     /// by a fifth at most, so that a host going under does not hide itself; where all are slow, as with a
@@ -250,6 +293,7 @@
             set_up: false,
             answered: false,
             held: false,
+            guest: false,
             leaving: false,
             ran: None,
             sent: now,
@@ -267,6 +311,21 @@
         self.work_at = now;
     }
 
+    /// Share of its capacity that it has for certain by now.
+    pub fn warmth(&self, warming: &Warming, now: Time) -> f64 {
+        let Some(up) = self.up_since else { return 1.0 };
+        let done = now.since(up).seconds() / warming.after.seconds().max(1e-9);
+        warming.from + (1.0 - warming.from) * done.min(1.0)
+    }
+
+    /// What it holds for us now, in connections of the mean load.
+    pub fn weight(&self, mean_load: f64) -> f64 {
+        if mean_load <= 0.0 {
+            return self.legs.len() as f64;
+        }
+        self.told_load / mean_load + self.legs.len() as f64 - f64::from(self.told)
+    }
+
     /// By how much the last two setups took too long, in the mean: a single one may have met a pause.
     pub fn set_up_slower(&mut self, seconds: f64) -> Span {
         let before = std::mem::replace(&mut self.set_up_slower, seconds.max(0.0));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,9 +47,7 @@
     mean_size: f64,
     waiting: Waiting,
     loads: Loads,
-    traffic_load: Vec<f64>,
-    /// Loads that connections had when they ended, of this half minute and the one before.
-    remembered: [FxHashMap<SubjectId, f64>; 2],
+    remembered: Remembered,
     rates: Rates,
     level: f64,
     open: f64,
@@ -110,9 +108,8 @@
             homes: Homes::default(),
             mean_size: 1.0,
             waiting: Waiting::default(),
-            loads: Loads::default(),
-            traffic_load: vec![0.0; terms.traffic.len()],
-            remembered: Default::default(),
+            loads: Loads { of_type: vec![0.0; terms.traffic.len()], ..Loads::default() },
+            remembered: Remembered::default(),
             rates: Rates::default(),
             level: 0.0,
             open: 1.0,
@@ -324,15 +321,11 @@
     fn drop_call(&mut self, no: usize) {
         let call = self.calls.remove(no);
         if let Some(load) = call.load {
-            // A twentieth: the mean of some twenty connections, from the mean of all on.
-            let mean = &mut self.traffic_load[usize::from(call.call.traffic.0)];
-            *mean = if *mean > 0.0 { *mean } else { self.loads.mean };
-            *mean += 0.05 * (load - *mean);
-        }
-        if let (Some(subject), Some(load)) = (call.call.subject, call.load) {
-            self.remembered[0].insert(subject, load);
+            self.loads.learn(call.call.traffic, load);
         }
+        self.remembered.keep(call.call.subject, call.load);
         self.call_no.remove(&call.call.id);
+        self.rates.guests -= f64::from(u8::from(call.guest));
         if call.held {
             self.waiting.held.retain(|held| *held != no);
         }
@@ -418,6 +411,7 @@
                 away += size;
             }
         }
+        let score = score * (1.0 - 2.0 * self.taken_over()).max(0.0);
         if near > 0.0 && away > 0.0 { score * f64::from(zones.max(self.terms.zone.0)) / away } else { 0.0 }
     }
 
@@ -466,7 +460,9 @@
             // A group that fills under a quarter of a host costs more in each zone than its crossings: its
             // homes are drawn from all zones. Limits from 0.03 to four hosts were tried.
             let small = part * (near as f64) < 0.25;
-            let foreign = if small { 1.0 } else { 1.0 - (10.0 * self.terms.crossing_price).min(1.0) };
+            let foreign =
+                (1.0 - 10.0 * self.terms.crossing_price).max(self.taken_over() / self.unseen().max(0.1));
+            let foreign = if small { 1.0 } else { foreign.clamp(0.0, 1.0) };
             let mut usable = 0;
             let many = self.many();
             keys.extend(self.hosts.iter().enumerate().map(|(host, to)| {
@@ -495,7 +491,7 @@
     /// The load to expect, in connections of the mean load.
     fn expected(&self, no: usize) -> f64 {
         let call = &self.calls[no];
-        let of_its_type = self.traffic_load[usize::from(call.call.traffic.0)];
+        let of_its_type = self.loads.of_type[usize::from(call.call.traffic.0)];
         if self.loads.mean <= 0.0 {
             return 0.0;
         }
@@ -518,10 +514,7 @@
 
     /// Share of its capacity that a host has for certain by now.
     fn warmth(&self, host: usize) -> f64 {
-        let Some(up) = self.hosts[host].up_since else { return 1.0 };
-        let warming = &self.terms.warming;
-        let done = self.now.since(up).seconds() / warming.after.seconds().max(1e-9);
-        warming.from + (1.0 - warming.from) * done.min(1.0)
+        self.hosts[host].warmth(&self.terms.warming, self.now)
     }
 
     fn is_trusted(&self, host: usize) -> bool {
@@ -536,7 +529,7 @@
     fn worth(&self, no: usize) -> f64 {
         let call = &self.calls[no];
         let traffic = usize::from(call.call.traffic.0);
-        let load = call.load.unwrap_or(self.traffic_load[traffic]).max(0.1 * self.loads.mean).max(1e-9);
+        let load = call.load.unwrap_or(self.loads.of_type[traffic]).max(0.1 * self.loads.mean).max(1e-9);
         self.terms.traffic[traffic].revenue / load
     }
 
@@ -547,11 +540,7 @@
 
     /// What the host holds for us now, in connections of the mean load.
     fn weight(&self, host: usize) -> f64 {
-        let to = &self.hosts[host];
-        if self.loads.mean <= 0.0 {
-            return to.legs.len() as f64;
-        }
-        to.told_load / self.loads.mean + to.legs.len() as f64 - f64::from(to.told)
+        self.hosts[host].weight(self.loads.mean)
     }
 
     // What legs teach.
@@ -712,8 +701,7 @@
         self.fill_budgets(elapsed);
         self.reckon(elapsed);
         if self.seconds.is_multiple_of(30) {
-            self.remembered.swap(0, 1);
-            self.remembered[0].clear();
+            self.remembered.turn();
         }
         self.listen_to_hosts(port);
         self.probe_hosts(port);
@@ -954,13 +942,24 @@
     /// Danger: a heavy connection that was sent away comes back looking like any other. What it asked for is
     /// remembered for the client's return.
     fn take_in(&mut self, call: Call) -> usize {
-        let known = |subject| self.remembered.iter().find_map(|loads| loads.get(&subject).copied());
-        let load = call.load.or_else(|| call.subject.and_then(known));
-        let no = self.calls.insert(InHand::new(call, load, self.now));
+        let load = call.load.or_else(|| self.remembered.load(call.subject?));
+        let guest = call.returning && load.is_none();
+        let no = self.calls.insert(InHand { guest, ..InHand::new(call, load, self.now) });
         self.call_no.insert(call.id, no);
+        self.rates.guests += f64::from(u8::from(guest));
+        // Danger: limits in connections of ours, from when others had theirs there too, keep those out.
+        for host in 0..if guest && self.taken_over() > 0.0 { self.hosts.len() } else { 0 } {
+            self.hosts[host].limit += self.size(host) / self.rates.size.max(1e-9);
+        }
         no
     }
 
+    /// The part of our calls that another node had before, in which hosts it used are emptier than ours.
+    /// Danger: when a node drains or dies, its clients come to one that keeps to its own zone and its limits.
+    fn taken_over(&self) -> f64 {
+        self.rates.taken_over(self.calls.len()) / self.calls.len().max(1) as f64
+    }
+
     pub fn connection_found(&mut self, now: Time, call: Call, host: HostId) {
         self.now = now;
         let Some(host) = self.host_no.get(&host).copied() else { return };
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -353,6 +353,7 @@
 #[test_case("unheard"; "without message times a host that answers probes slower than usual is crowded")]
 #[test_case("hangs"; "a host in service that answers no probe is set aside")]
 #[test_case("slow_setups"; "without message times a host whose setups take too long is crowded")]
+#[test_case("guests"; "clients that another node sent away open its hosts and the limits")]
 #[test_case("broken_last"; "a host whose last connection broke is taken up again")]
 #[test_case("worth"; "waiting calls are placed by revenue for their load")]
 #[test_case("leaving"; "a client that leaves is owed nothing")]
