--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -198,12 +198,7 @@
             "/v1/metrics" => say(200, self.figures()),
             path => {
                 info!(call = path, phase = self.phase.name(), "operators");
-                let done = if path == "/v1/node/drain" {
-                    self.drain();
-                    true
-                } else {
-                    self.activate()
-                };
+                let done = if path == "/v1/node/drain" { self.drain() } else { self.activate() };
                 say(if done { 200 } else { 409 }, json!({"done": done, "phase": self.phase.name()}))
             }
         }
@@ -228,6 +223,7 @@
             Phase::Starting => "starting",
             Phase::Serving => "serving",
             Phase::Draining { .. } => "draining",
+            Phase::Replaced => "replaced",
             Phase::Leaving { .. } => "leaving",
             Phase::Left => "left",
         }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -52,7 +52,8 @@
             if !self.make_room(RESERVE / 2 + 1) {
                 return self.accept_later();
             }
-            match net::accept_with(&self.listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
+            let Some(listener) = &self.listener else { return };
+            match net::accept_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
                 Ok(fd) => {
                     if let Some(id) = self.add_conn(Conn::new(fd, false), Role::Client(None)) {
                         self.deadlines.set(self.now + FIRST_LINE, Due::FirstLine(id));
@@ -125,6 +126,7 @@
     }
 
     fn first_lines(&mut self, id: ConnId) {
+        let yes = self.takes_clients();
         while let Some(seat) = self.conns.get_mut(id.0) {
             let Some(length) = line::first_line(&seat.conn.inbox) else {
                 if seat.conn.inbox.len() >= line::LONGEST {
@@ -142,7 +144,7 @@
             }
             match line::first(&said, &self.startup.names) {
                 Ok(First::Ping) => {
-                    let pong = if self.phase == Phase::Serving { Answer::Pong } else { Answer::Error };
+                    let pong = if yes { Answer::Pong } else { Answer::Error };
                     line::encode_answer(&pong, &mut seat.conn.outbox);
                     self.deadlines.set(self.now + FIRST_LINE, Due::FirstLine(id));
                     seat.quiet_since = self.now;
@@ -164,7 +166,7 @@
             self.figures.count(opening.traffic, Outcome::Failure);
             return self.answer_conn(id, Answer::Error);
         }
-        let leaving = matches!(self.phase, Phase::Leaving { .. });
+        let leaving = matches!(self.phase, Phase::Leaving { .. }) && !self.takes_clients();
         if leaving || !self.has_room() {
             let come_back = self.startup.terms.come_back.map(|most| most.min(COME_BACK));
             debug!(leaving, "busy");
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,7 @@
 //! What a node is told at its start: read, checked and given defaults here and nowhere else.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use glendeck::domain::{HostId, Span, Terms};
 use glendeck_terms::Pairs;
@@ -45,6 +46,8 @@
     /// The longest time that any client waits.
     pub longest_guard: Span,
     pub known: Option<list::Told>,
+    /// A folder of the node's own, where its next process finds this one.
+    pub folder: Option<PathBuf>,
 }
 
 impl Startup {
@@ -129,6 +132,7 @@
         zones,
         terms,
         known,
+        folder: variable("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from),
     })
 }
 
--- a/crates/node/src/conn.rs
+++ b/crates/node/src/conn.rs
@@ -47,6 +47,8 @@
 pub fn listen(address: SocketAddr) -> Result<OwnedFd, Errno> {
     let fd = socket(address)?;
     sockopt::set_socket_reuseaddr(&fd, true)?;
+    // Where the next process cannot be handed this socket it binds one of its own beside it.
+    let _ = sockopt::set_socket_reuseport(&fd, true);
     net::bind(&fd, &address)?;
     net::listen(&fd, BACKLOG)?;
     Ok(fd)
--- /dev/null
+++ b/crates/node/src/handover.rs
@@ -0,0 +1,445 @@
+//! From one process of this node to the next: the listening socket, what is known, and what is still open.
+//!
+//! The next process asks at a Unix socket in the node's own folder. On that one line it gets [`Standing`] with
+//! the socket, says when it serves, and hears how the process before empties; its end is the end of the line.
+
+use std::io::{IoSlice, IoSliceMut, Read, Write};
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use glendeck::domain::{
+    Cell, Condition, Extent, HostId, HostLegacy, Legacy, Listed, Span, SubjectId, Time, Zone,
+};
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags, getsockname, recvmsg, sendmsg,
+};
+use serde_json::{Value, json};
+use tracing::{debug, info, warn};
+
+use crate::conn::{Conn, Got};
+use crate::line::{LONGEST, first_line};
+use crate::list::Told;
+use crate::service::{ConnId, Due, Phase, Role, Service};
+
+/// What the next process says first, and what stands before the message; another version says another number.
+const HEIR: &str = "HEIR 1";
+const STANDING: &str = "STANDING 1";
+const SERVING: &str = "SERVING";
+
+/// A loop's turn takes milliseconds; a process that does not answer for so long is not waited for.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// The list's service answers within milliseconds or is overbooked; a process that has taken all else in
+/// serves without its word after this, well within the 6 s that an upgrade may take.
+const LIST_PATIENCE: Span = Span::ms(2_000);
+
+/// A host's figures take some 250 bytes, a client's load 40.
+const LONGEST_MESSAGE: usize = 4 << 20;
+
+/// Clients whose loads are told.
+const CLIENTS: usize = 10_000;
+
+/// How this process stands to the ones before and after it.
+#[derive(Default)]
+pub struct Handover {
+    /// Where the next process asks.
+    door: Option<UnixListener>,
+    heir: Option<ConnId>,
+    /// The next process has said that it serves.
+    heir_serves: bool,
+    elder: Option<ConnId>,
+    /// The list's service had its time to answer before this process takes over.
+    pub waited: bool,
+    /// Descriptors that the process before holds.
+    pub other_uses: usize,
+    /// The node was drained when this process was started.
+    pub drained: bool,
+}
+
+impl Handover {
+    pub fn is_replaced(&self) -> bool {
+        self.heir_serves
+    }
+
+    /// The process before this one still runs.
+    pub fn follows(&self) -> bool {
+        self.elder.is_some()
+    }
+
+    /// The process before this one still takes the clients.
+    pub fn follows_unready(&self, phase: Phase) -> bool {
+        self.elder.is_some() && phase == Phase::Starting
+    }
+}
+
+/// All that a process tells the next, but for the socket.
+pub struct Standing {
+    pub list: Told,
+    pub node: Legacy,
+    pub drained: bool,
+}
+
+/// What this process has from the one before.
+pub struct Inherited {
+    pub listener: OwnedFd,
+    pub line: UnixStream,
+    /// Nothing, where the message cannot be read: then this process starts from what its configuration says.
+    pub told: Option<Standing>,
+}
+
+fn path(folder: &Path, address: SocketAddr) -> PathBuf {
+    folder.join(format!("glendeck-{}-{}", address.ip(), address.port()))
+}
+
+impl Inherited {
+    /// Asks the process that serves at this address, if there is one. It blocks, as nothing is served yet.
+    pub fn ask(folder: Option<&Path>, address: SocketAddr, zones: &[String]) -> Option<Inherited> {
+        let path = path(folder?, address);
+        // Nothing there is the usual case, and where Unix sockets are refused none is made for it.
+        path.symlink_metadata().ok()?;
+        // What nobody listens at is what a process that was killed has left.
+        let mut line = UnixStream::connect(path).ok()?;
+        let asked = (|| {
+            line.set_read_timeout(Some(PATIENCE))?;
+            line.set_write_timeout(Some(PATIENCE))?;
+            line.write_all(format!("{HEIR}\n").as_bytes())?;
+            receive(&mut line)
+        })();
+        let (listener, message) = match asked {
+            Ok(got) => got,
+            Err(fault) => {
+                warn!(%fault, "the process before does not hand over");
+                return None;
+            }
+        };
+        // Danger: a socket of another address would take other clients.
+        let listener = listener
+            .filter(|fd| getsockname(fd).ok().and_then(|at| SocketAddr::try_from(at).ok()) == Some(address));
+        let Some(listener) = listener else {
+            warn!("the process before did not hand over its socket");
+            return None;
+        };
+        let told = message.and_then(|message| decode(&message, zones));
+        if told.is_none() {
+            warn!("what the process before told cannot be read: starting cold");
+        }
+        line.set_nonblocking(true).ok()?;
+        Some(Inherited { listener, line, told })
+    }
+}
+
+type Received = (Option<OwnedFd>, Option<Vec<u8>>);
+
+/// The socket, and the message if its head is one of ours.
+fn receive(line: &mut UnixStream) -> std::io::Result<Received> {
+    let mut head = [0; 64];
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut control = RecvAncillaryBuffer::new(&mut space);
+    let flags = RecvFlags::CMSG_CLOEXEC;
+    let got = recvmsg(&*line, &mut [IoSliceMut::new(&mut head[..1])], &mut control, flags)?.bytes;
+    let fd = control.drain().find_map(|message| match message {
+        RecvAncillaryMessage::ScmRights(mut fds) => fds.next(),
+        _ => None,
+    });
+    let mut length = got;
+    while length > 0 && length < head.len() && head[length - 1] != b'\n' {
+        match line.read(&mut head[length..length + 1])? {
+            0 => break,
+            n => length += n,
+        }
+    }
+    let text = std::str::from_utf8(&head[..length]).unwrap_or_default().trim_end();
+    let size = text.strip_prefix(STANDING).and_then(|rest| rest.trim().parse::<usize>().ok());
+    let Some(size) = size.filter(|size| *size <= LONGEST_MESSAGE) else { return Ok((fd, None)) };
+    let mut message = vec![0; size];
+    line.read_exact(&mut message)?;
+    Ok((fd, Some(message)))
+}
+
+fn condition(text: &str) -> Option<Condition> {
+    match text {
+        "ready" => Some(Condition::Ready),
+        "draining" => Some(Condition::Draining),
+        _ => None,
+    }
+}
+
+fn encode(standing: &Standing) -> Value {
+    let hosts: Vec<Value> = standing
+        .list
+        .lines
+        .iter()
+        .zip(&standing.list.addresses)
+        .map(|(line, (_, address))| {
+            json!({"host": line.host.0, "address": address.to_string(), "zone": line.zone.0, "cell": line.cell.0,
+                   "condition": if line.condition == Condition::Ready { "ready" } else { "draining" },
+                   "share": line.share, "up": line.up_since.map(|up| up.0)})
+        })
+        .collect();
+    let node = &standing.node;
+    let figures: Vec<Value> = node
+        .hosts
+        .iter()
+        .map(|of| {
+            json!({"host": of.host.0, "open": of.open, "smoothed": of.smoothed, "limit": of.limit,
+                   "strain": of.strain, "aside": of.aside, "budget": of.budget, "held": of.held,
+                   "answers": of.answers})
+        })
+        .collect();
+    let loads: Vec<Value> = node.loads.iter().take(CLIENTS).map(|(of, load)| json!([of.0, load])).collect();
+    json!({"index": standing.list.index, "list": hosts, "hosts": figures, "loads": loads,
+           "mean_load": node.mean_load, "of_type": node.of_type, "arrival": node.arrival, "held": node.held,
+           "usual_conns": node.usual_conns, "size": node.size, "usual_size": node.usual_size,
+           "setup": node.setup, "drained": standing.drained})
+}
+
+/// Strictly: one thing amiss, and none of it counts.
+fn decode(message: &[u8], zones: &[String]) -> Option<Standing> {
+    let json: Value = serde_json::from_slice(message).ok()?;
+    let number = |of: &Value, key: &str| of.get(key)?.as_f64().filter(|number| number.is_finite());
+    let whole = |of: &Value, key: &str| of.get(key)?.as_u64();
+    let (mut lines, mut addresses) = (Vec::new(), Vec::new());
+    for of in json.get("list")?.as_array()? {
+        let host = HostId(whole(of, "host")?);
+        let zone = u16::try_from(whole(of, "zone")?).ok()?;
+        addresses.push((host, of.get("address")?.as_str()?.parse().ok()?));
+        lines.push(Listed {
+            host,
+            // Zones are numbered by the settings; one that these do not name is no zone of ours.
+            zone: Zone(zone.min(zones.len() as u16)),
+            cell: Cell(u16::try_from(whole(of, "cell")?).ok()?),
+            condition: condition(of.get("condition")?.as_str()?)?,
+            share: number(of, "share").filter(|share| *share >= 0.0)?,
+            up_since: match of.get("up")? {
+                Value::Null => None,
+                up => Some(Time(up.as_u64()?)),
+            },
+        });
+    }
+    let mut node = Legacy {
+        mean_load: number(&json, "mean_load")?,
+        arrival: number(&json, "arrival")?,
+        held: number(&json, "held")?,
+        usual_conns: number(&json, "usual_conns")?,
+        size: number(&json, "size")?,
+        usual_size: number(&json, "usual_size")?,
+        setup: number(&json, "setup")?,
+        ..Legacy::default()
+    };
+    for mean in json.get("of_type")?.as_array()? {
+        node.of_type.push(mean.as_f64()?);
+    }
+    for load in json.get("loads")?.as_array()? {
+        let [subject, load] = load.as_array()?.as_slice() else { return None };
+        node.loads.push((SubjectId(subject.as_u64()?), load.as_f64()?));
+    }
+    for of in json.get("hosts")?.as_array()? {
+        node.hosts.push(HostLegacy {
+            host: HostId(whole(of, "host")?),
+            open: number(of, "open")?,
+            smoothed: number(of, "smoothed")?,
+            limit: match of.get("limit")? {
+                Value::Null => None,
+                limit => Some(limit.as_f64()?),
+            },
+            strain: number(of, "strain")?,
+            aside: of.get("aside")?.as_bool()?,
+            budget: number(of, "budget")?,
+            held: number(of, "held")?,
+            answers: number(of, "answers")?,
+        });
+    }
+    let list = Told { index: whole(&json, "index")?, extent: Extent::Whole, lines, addresses };
+    Some(Standing { list, node, drained: json.get("drained")?.as_bool()? })
+}
+
+impl Service {
+    // Towards the next process.
+
+    /// Danger: a file of a process that was killed is in the way, and one that serves must not be cut off
+    /// before the new socket listens: it is bound beside and moved over.
+    pub fn await_heir(&mut self) {
+        let Some(folder) = self.startup.folder.as_deref() else { return };
+        let path = path(folder, self.startup.listen);
+        let beside = path.with_extension("new");
+        let _ = std::fs::remove_file(&beside);
+        let bound = UnixListener::bind(&beside).and_then(|door| {
+            door.set_nonblocking(true)?;
+            std::fs::rename(&beside, &path)?;
+            self.watch_heirs(&door)?;
+            Ok(door)
+        });
+        match bound {
+            Ok(door) => self.handover.door = Some(door),
+            // The next process then listens beside this one.
+            Err(fault) => info!(%fault, "no socket for the next process"),
+        }
+    }
+
+    pub fn accept_heir(&mut self) {
+        let Some(Ok((line, _))) = self.handover.door.as_ref().map(UnixListener::accept) else { return };
+        // One at a time: another is turned away by the close.
+        if self.handover.heir.is_none() && line.set_nonblocking(true).is_ok() {
+            self.handover.heir = self.add_conn(Conn::new(line.into(), false), Role::Heir);
+        }
+    }
+
+    pub fn heir_came(&mut self, id: ConnId, got: Got) {
+        let Got::Bytes(n) = got else {
+            return if matches!(got, Got::End) {
+                self.heir_gone(id)
+            };
+        };
+        let Some(seat) = self.conns.get_mut(id.0) else { return };
+        seat.conn.inbox.extend_from_slice(&self.scratch[..n]);
+        while let Some(seat) = self.conns.get_mut(id.0) {
+            let Some(length) = first_line(&seat.conn.inbox) else {
+                return if seat.conn.inbox.len() > LONGEST {
+                    self.heir_gone(id)
+                };
+            };
+            let said: Vec<u8> = seat.conn.inbox.drain(..length).collect();
+            match said.trim_ascii_end() {
+                said if said == HEIR.as_bytes() => self.hand_over(id),
+                said if said == SERVING.as_bytes() => self.replaced(),
+                _ => {
+                    warn!("the next process is of another version");
+                    return self.heir_gone(id);
+                }
+            }
+        }
+    }
+
+    fn hand_over(&mut self, id: ConnId) {
+        let (Some(node), Some(index)) = (self.legacy(), self.list.index()) else { return self.heir_gone(id) };
+        let drained = matches!(self.phase, Phase::Draining { .. });
+        let message = encode(&Standing { list: self.hosts.told(index), node, drained }).to_string();
+        let head = format!("{STANDING} {}\n", message.len());
+        let uses = self.descriptors();
+        let (Some(seat), Some(listener)) = (self.conns.get_mut(id.0), &self.listener) else {
+            return self.heir_gone(id);
+        };
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        let fds = [listener.as_fd()];
+        let fits = control.push(SendAncillaryMessage::ScmRights(&fds));
+        let sent =
+            sendmsg(&seat.conn.fd, &[IoSlice::new(head.as_bytes())], &mut control, SendFlags::NOSIGNAL);
+        if !fits || sent != Ok(head.len()) {
+            warn!(?sent, "cannot hand over");
+            return self.heir_gone(id);
+        }
+        info!(calls = self.calls.len(), "handing over to the next process");
+        seat.conn.outbox.extend_from_slice(message.as_bytes());
+        seat.conn.outbox.extend_from_slice(format!("USES {uses}\n").as_bytes());
+        self.pump(id);
+    }
+
+    /// The next process serves: from here on it takes the clients.
+    fn replaced(&mut self) {
+        info!(calls = self.calls.len(), "replaced: the next process takes the clients");
+        self.handover.heir_serves = true;
+        self.handover.door = None;
+        self.listen_for(false);
+        if matches!(self.phase, Phase::Serving | Phase::Starting) {
+            self.phase = Phase::Replaced;
+        }
+    }
+
+    /// Danger: the next process may end before it serves, or after; then nobody would take the clients.
+    pub fn heir_gone(&mut self, id: ConnId) {
+        self.drop_conn(id);
+        if self.handover.heir != Some(id) {
+            return;
+        }
+        self.handover.heir = None;
+        if !std::mem::take(&mut self.handover.heir_serves) {
+            return info!("the next process has gone");
+        }
+        if matches!(self.phase, Phase::Leaving { .. } | Phase::Left) {
+            return;
+        }
+        warn!("the next process has gone: this one takes the clients again");
+        if self.phase == Phase::Replaced {
+            self.phase = Phase::Serving;
+        }
+        self.listen_for(true);
+        self.await_heir();
+    }
+
+    /// What is open at a host has changed.
+    pub fn tell_heir(&mut self, host: HostId) {
+        let Some(id) = self.handover.heir else { return };
+        let said = format!("AT {:x} {}\nUSES {}\n", host.0, self.hosts.open_at(host), self.descriptors());
+        if let Some(seat) = self.conns.get_mut(id.0) {
+            seat.conn.outbox.extend_from_slice(said.as_bytes());
+        }
+        self.pump(id);
+    }
+
+    // Towards the process before.
+
+    pub fn follow_elder(&mut self, line: UnixStream) {
+        self.handover.elder = self.add_conn(Conn::new(line.into(), false), Role::Elder);
+        info!("following the process before");
+        self.deadlines.set(self.now + LIST_PATIENCE, Due::TakeOver);
+    }
+
+    /// This process can serve. Danger: were the one before told earlier, nobody would take clients meanwhile.
+    pub fn take_over(&mut self) {
+        if self.handover.door.is_some() {
+            return;
+        }
+        self.await_heir();
+        self.listen_for(true);
+        if let Some(id) = self.handover.elder {
+            if let Some(seat) = self.conns.get_mut(id.0) {
+                seat.conn.outbox.extend_from_slice(format!("{SERVING}\n").as_bytes());
+            }
+            self.pump(id);
+        }
+    }
+
+    pub fn elder_came(&mut self, id: ConnId, got: Got) {
+        let Got::Bytes(n) = got else {
+            return if matches!(got, Got::End) {
+                self.elder_gone(id)
+            };
+        };
+        let Some(seat) = self.conns.get_mut(id.0) else { return };
+        seat.conn.inbox.extend_from_slice(&self.scratch[..n]);
+        while let Some(seat) = self.conns.get_mut(id.0) {
+            let Some(length) = first_line(&seat.conn.inbox) else {
+                return if seat.conn.inbox.len() > LONGEST {
+                    self.elder_gone(id)
+                };
+            };
+            let said: Vec<u8> = seat.conn.inbox.drain(..length).collect();
+            let said = String::from_utf8_lossy(&said);
+            match said.split_whitespace().collect::<Vec<_>>()[..] {
+                ["AT", host, open] => {
+                    if let (Ok(host), Ok(open)) = (u64::from_str_radix(host, 16), open.parse::<u32>()) {
+                        self.tell(|node, _| node.elder_at(Some(HostId(host)), f64::from(open)));
+                    }
+                }
+                ["USES", uses] => self.handover.other_uses = uses.parse().unwrap_or(0),
+                _ => debug!(%said, "the process before said something unknown"),
+            }
+        }
+    }
+
+    /// The process before has ended, or will not be heard: what it held is gone, and the socket is ours.
+    pub fn elder_gone(&mut self, id: ConnId) {
+        self.drop_conn(id);
+        info!("the process before has gone");
+        (self.handover.elder, self.handover.other_uses) = (None, 0);
+        self.tell(|node, _| node.elder_at(None, 0.0));
+        self.listen_for(self.accepts());
+        self.ready_now();
+    }
+}
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use glendeck::domain::{CallId, Condition, Ending, Extent, HostId, LegNo, News, Span, Time};
+use glendeck::domain::{CallId, Condition, Ending, Extent, HostId, LegNo, Listed, News, Span, Time};
 use rustc_hash::FxHashMap;
 use tracing::{debug, warn};
 
@@ -30,6 +30,8 @@
 struct Known {
     address: SocketAddr,
     condition: Condition,
+    /// What the list said of it last.
+    listed: Option<Listed>,
     /// Calls whose connection is open there.
     open: BTreeSet<CallId>,
 }
@@ -41,8 +43,9 @@
     /// Takes in what was told, and hands back which hosts with open connections are to be left now.
     pub fn learn(&mut self, told: &Told) -> Vec<HostId> {
         for (host, address) in &told.addresses {
-            let (address, condition, open) = (*address, Condition::Ready, BTreeSet::new());
-            let known = self.0.entry(*host).or_insert(Known { address, condition, open });
+            let (address, condition) = (*address, Condition::Ready);
+            let empty = Known { address, condition, listed: None, open: BTreeSet::new() };
+            let known = self.0.entry(*host).or_insert(empty);
             known.address = address;
         }
         let mut left = Vec::new();
@@ -52,6 +55,7 @@
                 left.push(line.host);
             }
             known.condition = line.condition;
+            known.listed = Some(*line);
         }
         if told.extent == Extent::Whole {
             let listed: BTreeSet<HostId> = told.lines.iter().map(|line| line.host).collect();
@@ -75,6 +79,20 @@
         self.0.iter().filter(|(_, known)| known.condition != Condition::Gone).map(|(host, _)| *host)
     }
 
+    /// The list as it is known now.
+    pub fn told(&self, index: u64) -> Told {
+        let listed = self.0.values().filter(|known| known.condition != Condition::Gone);
+        let lines: Vec<(Listed, SocketAddr)> =
+            listed.filter_map(|known| Some((known.listed?, known.address))).collect();
+        let addresses = lines.iter().map(|(line, address)| (line.host, *address)).collect();
+        let lines = lines.into_iter().map(|(line, _)| line).collect();
+        Told { index, extent: Extent::Whole, lines, addresses }
+    }
+
+    pub fn open_at(&self, host: HostId) -> usize {
+        self.0.get(&host).map_or(0, |known| known.open.len())
+    }
+
     fn is_leaving(&self, host: HostId) -> bool {
         self.0.get(&host).is_some_and(|known| known.condition == Condition::Draining)
     }
@@ -303,6 +321,7 @@
         }
         self.pump(client);
         self.hosts.opened(host, call);
+        self.tell_heir(host);
         let now = self.now;
         if returning {
             self.tell(|node, _| node.connection_found(now, of, host));
@@ -384,6 +403,7 @@
         debug!(call = id.0, host = leg.host.0, ?ending, "ended");
         self.legs_out -= 1;
         self.hosts.closed(leg.host, id);
+        self.tell_heir(leg.host);
         match (reset, self.conns.get(leg.conn.0).is_some_and(|seat| seat.conn.read_ended)) {
             (true, _) => self.reset_conn(leg.conn),
             (_, true) => self.drop_conn(leg.conn),
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -38,6 +38,8 @@
 #[derive(Default)]
 pub struct List {
     index: Option<u64>,
+    /// Its service has answered since the start.
+    pub heard: bool,
     watch: Option<ConnId>,
     once: Option<ConnId>,
 }
@@ -98,6 +100,10 @@
 }
 
 impl List {
+    pub fn index(&self) -> Option<u64> {
+        self.index
+    }
+
     pub fn set_index(&mut self, index: u64) {
         self.index = Some(index);
     }
@@ -250,6 +256,7 @@
         }
         debug!(index = told.index, whole = told.extent == Extent::Whole, lines = told.lines.len(), "list");
         let left = self.hosts.learn(&told);
+        self.list.heard = true;
         let now = self.now;
         self.tell(|node, port| node.list_told(now, told.extent, &told.lines, port));
         for host in left {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -7,6 +7,7 @@
 mod conn;
 mod deadlines;
 mod figures;
+mod handover;
 mod hosts;
 mod http;
 mod line;
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -7,7 +7,7 @@
 use std::os::unix::net::UnixStream;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use glendeck::domain::{Call, CallId, Ending, HostId, LegNo, Span, Time, Token};
+use glendeck::domain::{Call, CallId, Ending, HostId, LegNo, Legacy, Span, Time, Token};
 use glendeck::port::Port;
 use glendeck::rules::Node;
 use nanorand::{Rng, WyRand};
@@ -21,6 +21,7 @@
 use crate::conn::{self, Conn, Got, MUCH};
 use crate::deadlines::Deadlines;
 use crate::figures::{Figures, Outcome};
+use crate::handover::{Handover, Inherited};
 use crate::hosts::Directory;
 use crate::line::{Answer, ClientId, LONGEST, Word};
 use crate::list::{Ask, List};
@@ -47,6 +48,8 @@
     Draining {
         since: Time,
     },
+    /// The next process takes the clients; it serves those that it has, and waits for its end.
+    Replaced,
     /// It was told to end: clients are sent away until then.
     Leaving {
         until: Time,
@@ -69,6 +72,9 @@
     Closing,
     /// Someone at the operators' door.
     Admin,
+    /// The process of this node after, or before this one.
+    Heir,
+    Elder,
 }
 
 pub struct Seat {
@@ -179,6 +185,10 @@
     FirstLine(ConnId),
     Shut(ConnId),
     Accept,
+    /// The process before is not waited with any longer for the list.
+    TakeOver,
+    /// The front has stopped sending.
+    StopAccepting,
     Exit,
 }
 
@@ -207,8 +217,10 @@
     pub now: Time,
     reactor: Reactor,
     pub deadlines: Deadlines<Due>,
-    pub listener: OwnedFd,
+    /// Until the front sends nothing more.
+    pub listener: Option<OwnedFd>,
     pub door: Door,
+    pub handover: Handover,
     pub figures: Figures,
     /// Drains so far.
     pub drains: u32,
@@ -243,18 +255,23 @@
     Ok(shows)
 }
 
-const LISTENER: u64 = u64::MAX;
+pub const LISTENER: u64 = u64::MAX;
 const SIGNALS: u64 = u64::MAX - 1;
 const RELOADS: u64 = u64::MAX - 2;
 pub const DOOR: u64 = u64::MAX - 3;
+pub const HEIRS: u64 = u64::MAX - 4;
 
-/// Standard streams, epoll, the listening socket, two ends for each of two signals, and one to accept with or
-/// to read the configuration from.
-const OWN: usize = 10;
+/// Standard streams, epoll, the listening socket, two ends for each of two signals, the socket for the next
+/// process, and one to accept with or to read the configuration from.
+const OWN: usize = 11;
 
 /// The front goes on sending new clients for up to 0.4 s after the node was told to leave.
 const STILL_COMING: Span = Span::ms(450);
 
+/// After this nobody comes, and the socket closes. Danger: where the next process listens beside this one, the
+/// kernel goes on dealing connections to both.
+const STOP_ACCEPTING: Span = Span::ms(600);
+
 /// The platform kills no sooner than the longest guard time, 3 s at most, and 0.7 s after that.
 const LONGEST_LEAVE: Span = Span::ms(3_000);
 const LEAVE_MORE: Span = Span::ms(400);
@@ -281,9 +298,14 @@
 impl Service {
     pub fn start(mut startup: Startup) -> Result<Service, ServiceFault> {
         let address = startup.listen;
-        let listener = conn::listen(address).map_err(|fault| ServiceFault::Listen { address, fault })?;
+        let inherited = Inherited::ask(startup.folder.as_deref(), address, &startup.zones);
+        let (listener, mut inherited) = match inherited {
+            // The process before goes on accepting until this one can serve.
+            Some(Inherited { listener, line, told }) => (listener, Some((line, told))),
+            None => (conn::listen(address).map_err(|fault| ServiceFault::Listen { address, fault })?, None),
+        };
         let reactor = Reactor::new()?;
-        reactor.add(&listener, LISTENER, Flags::IN)?;
+        reactor.add(&listener, LISTENER, if inherited.is_none() { Flags::IN } else { Flags::empty() })?;
         let door =
             Door::open(startup.admin).map_err(|(address, fault)| ServiceFault::Listen { address, fault })?;
         if let Some(listener) = &door.listener {
@@ -301,8 +323,9 @@
             clock,
             reactor,
             deadlines: Deadlines::default(),
-            listener,
+            listener: Some(listener),
             door,
+            handover: Handover::default(),
             figures: Figures::new(&startup.names.traffic),
             drains: 0,
             slowest_turn: Span::ZERO,
@@ -325,6 +348,14 @@
             startup,
         };
         let (terms, seed, now) = (service.startup.terms.clone(), service.startup.seed, service.now);
+        let legacy = inherited.as_mut().and_then(|(_, told)| told.take());
+        let older = legacy
+            .as_ref()
+            .is_some_and(|legacy| known.as_ref().is_none_or(|known| known.index <= legacy.list.index));
+        let (known, legacy) = match legacy {
+            Some(legacy) if older => (Some(legacy.list), Some((legacy.node, legacy.drained))),
+            legacy => (known, legacy.map(|legacy| (legacy.node, legacy.drained))),
+        };
         if let Some(known) = known {
             // What is known stands before the first question, which then asks for what came after it.
             service.list.set_index(known.index);
@@ -333,6 +364,13 @@
         } else {
             service.node = Some(Box::new(Node::start(terms, seed, now, &mut service)));
         }
+        if let Some((legacy, drained)) = legacy {
+            service.handover.drained = drained;
+            service.tell(|node, _| node.inherit(&legacy));
+        }
+        if let Some((line, _)) = inherited {
+            service.follow_elder(line);
+        }
         service.settle();
         service.ready_now();
         Ok(service)
@@ -368,6 +406,7 @@
         match number {
             LISTENER => return self.accept(),
             DOOR => return self.accept_callers(),
+            HEIRS => return self.accept_heir(),
             SIGNALS => {
                 let mut signals = [0; 16];
                 if self.signals.read(&mut signals).is_ok() {
@@ -449,6 +488,8 @@
             Role::Probe(host) => self.probe_came(id, host, got),
             Role::List(ask, _) => self.list_came(id, ask, got),
             Role::Admin => self.caller_came(id, got),
+            Role::Heir => self.heir_came(id, got),
+            Role::Elder => self.elder_came(id, got),
             Role::Closing => {
                 if let Got::Bytes(n) = got {
                     seat.conn.discarded += n;
@@ -470,6 +511,8 @@
             Role::List(ask, _) => self.list_lost(id, ask),
             Role::Closing => self.drop_conn(id),
             Role::Admin => self.drop_caller(id),
+            Role::Heir => self.heir_gone(id),
+            Role::Elder => self.elder_gone(id),
         }
     }
 
@@ -510,7 +553,12 @@
                     self.drop_conn(id);
                 }
             }
-            Due::Accept => self.listen_for(true),
+            Due::Accept => self.listen_for(self.accepts()),
+            Due::TakeOver => {
+                self.handover.waited = true;
+                self.ready_now();
+            }
+            Due::StopAccepting => self.stop_accepting(),
             Due::Exit => self.exit(),
         }
         self.settle();
@@ -520,9 +568,37 @@
 
     /// It serves once it knows a host that is ready.
     pub fn ready_now(&mut self) {
-        if self.phase == Phase::Starting && self.hosts.any_ready() {
+        let waits = self.handover.follows() && !self.list.heard && !self.handover.waited;
+        if self.phase == Phase::Starting && self.hosts.any_ready() && !waits {
             self.phase = Phase::Serving;
             info!(name = %self.startup.name, "serving");
+            if std::mem::take(&mut self.handover.drained) {
+                info!("the process before was draining");
+                self.drain();
+            }
+            self.take_over();
+        }
+    }
+
+    /// What the front hears. While the process that replaces this one takes clients, the node does.
+    pub fn takes_clients(&self) -> bool {
+        match self.phase {
+            Phase::Serving | Phase::Replaced => true,
+            Phase::Leaving { until } => self.handover.is_replaced() && self.now + LAST_MOVES < until,
+            _ => false,
+        }
+    }
+
+    /// Whether new connections are this process's to take.
+    pub fn accepts(&self) -> bool {
+        !self.handover.follows_unready(self.phase) && !self.handover.is_replaced()
+    }
+
+    /// Danger: what has come up in a listening socket's queue is reset with its close.
+    fn stop_accepting(&mut self) {
+        if matches!(self.phase, Phase::Leaving { .. }) && !self.handover.is_replaced() {
+            self.accept();
+            self.listener = None;
         }
     }
 
@@ -556,8 +632,12 @@
         self.phase = Phase::Leaving { until };
         info!(calls = self.calls.len(), "leaving");
         self.deadlines.set(until, Due::Exit);
+        self.deadlines.set(self.now + STOP_ACCEPTING, Due::StopAccepting);
         let open: Vec<CallId> = self.calls.iter().map(|(number, _)| CallId(number)).collect();
+        // Where the next process serves already, clients have somewhere to go from the first moment.
+        let replaced = self.handover.is_replaced();
         let first = (until - LAST_MOVES - MOVES).max(self.now + STILL_COMING);
+        let first = if replaced { self.now } else { first };
         let span = (until - LAST_MOVES).since(first);
         for (at, call) in open.iter().enumerate() {
             let due = first + span.times(at as f64 / open.len() as f64);
@@ -584,7 +664,7 @@
     // Draining.
 
     /// Told again, it goes on as it was. From the first moment the front hears no yes.
-    pub fn drain(&mut self) {
+    pub fn drain(&mut self) -> bool {
         if matches!(self.phase, Phase::Starting | Phase::Serving) {
             info!(calls = self.calls.len(), "draining");
             self.phase = Phase::Draining { since: self.now };
@@ -592,6 +672,8 @@
             self.deadlines.set(self.now + STILL_SENT, Due::Drain(self.drains));
             self.deadlines.set(self.now + EMPTY, Due::DrainEnd(self.drains));
         }
+        // Who has been replaced has no say, and who leaves sends its clients away as it is.
+        self.phase != Phase::Replaced
     }
 
     /// Ends a drain; one that is leaving cannot come back.
@@ -601,7 +683,7 @@
             self.phase = Phase::Starting;
             self.ready_now();
         }
-        !matches!(self.phase, Phase::Leaving { .. } | Phase::Left)
+        !matches!(self.phase, Phase::Replaced | Phase::Leaving { .. } | Phase::Left)
     }
 
     /// Danger: what an earlier drain has set is still in the deadlines after its end, and after the next.
@@ -658,13 +740,14 @@
 
     /// Descriptors in use, and those that the calls in hand will need.
     pub fn descriptors(&self) -> usize {
-        self.kept_back() + self.conns.len() - self.door.callers.len() + self.calls.len()
+        self.kept_back() + self.handover.other_uses + self.conns.len() - self.door.callers.len()
+            + self.calls.len()
             - self.legs_out.min(self.calls.len())
     }
 
     /// Descriptors that the calls in hand need when all have their legs.
     pub fn committed(&self) -> usize {
-        self.kept_back() + 2 * self.calls.len()
+        self.kept_back() + self.handover.other_uses + 2 * self.calls.len()
     }
 
     /// What the node needs for itself, and for the operators' door however many clients there are.
@@ -682,6 +765,10 @@
         Some(held)
     }
 
+    pub fn watch_heirs(&mut self, door: &std::os::unix::net::UnixListener) -> Result<(), Errno> {
+        self.reactor.add(door, HEIRS, Flags::IN)
+    }
+
     pub fn add_conn(&mut self, conn: Conn, role: Role) -> Option<ConnId> {
         let (quiet_since, idle_since) = (self.now, self.now);
         let id = ConnId(self.conns.insert(Seat { conn, role, quiet_since, idle_since }));
@@ -713,7 +800,9 @@
 
     pub fn listen_for(&mut self, clients: bool) {
         let flags = if clients { Flags::IN } else { Flags::empty() };
-        let _ = self.reactor.change(&self.listener, LISTENER, flags);
+        if let Some(listener) = &self.listener {
+            let _ = self.reactor.change(listener, LISTENER, flags);
+        }
     }
 
     pub fn drop_conn(&mut self, id: ConnId) {
@@ -737,6 +826,10 @@
         }
     }
 
+    pub fn legacy(&self) -> Option<Legacy> {
+        self.node.as_ref().map(|node| node.legacy())
+    }
+
     /// Whether the decisions keep away from a host now.
     pub fn avoids(&self, host: HostId) -> bool {
         self.node.as_ref().is_some_and(|node| node.avoids(host))
--- a/src/book.rs
+++ b/src/book.rs
@@ -104,6 +104,18 @@
     pub within: f64,
 }
 
+impl Homes {
+    /// The homes are so many of the first in order.
+    pub fn bound(&mut self, keys: &[f64], homes: usize) {
+        self.spare.clear();
+        self.spare.extend_from_slice(keys);
+        if homes < self.spare.len() {
+            let (_, last, _) = self.spare.select_nth_unstable_by(homes - 1, f64::total_cmp);
+            self.within = last.min(f64::MAX);
+        }
+    }
+}
+
 /// Loads told of the connections in hand.
 #[derive(Default)]
 pub(crate) struct Loads {
@@ -115,6 +127,19 @@
 }
 
 impl Loads {
+    /// One connection's load more or less at a host, if it was told.
+    pub fn count(&mut self, to: &mut Host, load: Option<f64>, sign: f64) {
+        if let Some(load) = load {
+            to.told_load += sign * load;
+            to.told = to.told.wrapping_add_signed(sign as i32);
+            self.told_load += sign * load;
+            self.told = self.told.wrapping_add_signed(sign as i32);
+        }
+        if self.told > 0 {
+            self.mean = (self.told_load / f64::from(self.told)).max(0.0);
+        }
+    }
+
     /// A twentieth: the mean of some twenty connections, from the mean of all on.
     pub fn learn(&mut self, traffic: TrafficId, load: f64) {
         let mean = &mut self.of_type[usize::from(traffic.0)];
@@ -138,6 +163,10 @@
         }
     }
 
+    pub fn all(&self) -> impl Iterator<Item = (SubjectId, f64)> {
+        self.0.iter().flatten().map(|(subject, load)| (*subject, *load))
+    }
+
     pub fn turn(&mut self) {
         self.0.swap(0, 1);
         self.0[0].clear();
@@ -168,15 +197,46 @@
 impl Rates {
     /// What stands here and how large the fleet is, now and as a rule; the rule follows over about the time
     /// that connections and warm-ups take. Growth is usual at once, loss is not.
-    pub fn weigh(&mut self, stand: usize, shares: f64, size: f64, first: f64) {
-        let held = stand.max(1) as f64 / shares.max(1e-6);
+    pub fn weigh(&mut self, stand: f64, shares: f64, size: f64, first: f64) {
+        let held = stand.max(1.0) / shares.max(1e-6);
         self.held += (held - self.held) * first.max(0.06);
-        self.usual_conns += (stand as f64 - self.usual_conns) * first.max(0.02);
+        self.usual_conns += (stand - self.usual_conns) * first.max(0.02);
         self.size = size;
         let usual = self.usual_size.max(size);
         self.usual_size = usual + (size - usual) * 0.02;
     }
 
+    /// A second has passed.
+    pub fn fade(&mut self, left: f64) {
+        self.tried *= left;
+        self.failed *= left;
+        self.broke *= left;
+    }
+
+    pub fn legacy(&self, loads: &Loads) -> Legacy {
+        Legacy {
+            mean_load: loads.mean,
+            of_type: loads.of_type.clone(),
+            arrival: self.arrival,
+            held: self.held,
+            usual_conns: self.usual_conns,
+            size: self.size,
+            usual_size: self.usual_size,
+            setup: self.setup,
+            ..Legacy::default()
+        }
+    }
+
+    pub fn inherit(&mut self, loads: &mut Loads, from: &Legacy) {
+        loads.mean = from.mean_load;
+        // Traffic types that the settings did not have before begin anew.
+        for (mean, before) in loads.of_type.iter_mut().zip(&from.of_type) {
+            *mean = *before;
+        }
+        (self.arrival, self.held, self.setup) = (from.arrival, from.held, from.setup);
+        (self.usual_conns, self.size, self.usual_size) = (from.usual_conns, from.size, from.usual_size);
+    }
+
     /// Clients that other nodes sent away and that are here now. Where clients come and go between nodes all
     /// have guests, and none has more than usual; who has no rule yet knows nothing of them.
     pub fn taken_over(&self, stand: usize) -> f64 {
@@ -241,6 +301,8 @@
     /// The calls with a leg here, in no order that means anything.
     pub legs: Vec<usize>,
     pub setting_up: u32,
+    /// Connections that the process of this node before this one still has here.
+    pub elder: f64,
     pub told_load: f64,
     pub told: u32,
     pub work: f64,
@@ -306,11 +368,57 @@
 impl Host {
     /// Brings the work that the host was asked for up to now; who told no load counts as the mean.
     pub fn settle(&mut self, now: Time, mean_load: f64) {
-        let untold = self.legs.len() as f64 - f64::from(self.told);
+        let untold = self.stand() - f64::from(self.told);
         self.work += (self.told_load + untold * mean_load) * now.since(self.work_at).seconds();
         self.work_at = now;
     }
 
+    /// Adds to the budget for a cold one. What is not used lapses, or all nodes would hold a call ready for the
+    /// same moment.
+    pub fn save_up(&mut self, rate: f64, window: Span, now: Time) {
+        self.budget += rate * now.since(self.budget_at).seconds();
+        if self.budget > 1.0 + rate * window.seconds() {
+            self.budget -= 1.0;
+        }
+        self.budget_at = now;
+    }
+
+    /// The node's connections here.
+    pub fn stand(&self) -> f64 {
+        self.legs.len() as f64 + self.elder
+    }
+
+    pub fn smooth(&mut self, alpha: f64, elapsed: f64) {
+        self.smoothed = self.smoothed * (1.0 - alpha) + (self.work - self.work_before) * alpha / elapsed;
+        self.work_before = self.work;
+    }
+
+    pub fn legacy(&self) -> HostLegacy {
+        HostLegacy {
+            host: self.id,
+            open: self.stand(),
+            smoothed: self.smoothed,
+            limit: Some(self.limit).filter(|limit| limit.is_finite()),
+            strain: self.strain,
+            aside: self.aside.is_some(),
+            budget: self.budget,
+            held: self.held,
+            answers: self.answers,
+        }
+    }
+
+    pub fn inherit(&mut self, from: &HostLegacy, now: Time) {
+        (self.elder, self.smoothed, self.strain) = (from.open, from.smoothed, from.strain);
+        (self.limit, self.held, self.answers) =
+            (from.limit.unwrap_or(f64::INFINITY), from.held, from.answers);
+        (self.answer, self.weight_before) = (from.answers, from.open);
+        (self.budget, self.budget_at) = (from.budget, now);
+        if from.aside {
+            self.wait = Span::ms(1000);
+            self.aside = Some(Aside { next_probe: now, answers: 0 });
+        }
+    }
+
     /// Share of its capacity that it has for certain by now.
     pub fn warmth(&self, warming: &Warming, now: Time) -> f64 {
         let Some(up) = self.up_since else { return 1.0 };
@@ -321,9 +429,9 @@
     /// What it holds for us now, in connections of the mean load.
     pub fn weight(&self, mean_load: f64) -> f64 {
         if mean_load <= 0.0 {
-            return self.legs.len() as f64;
+            return self.stand();
         }
-        self.told_load / mean_load + self.legs.len() as f64 - f64::from(self.told)
+        self.told_load / mean_load + self.stand() - f64::from(self.told)
     }
 
     /// By how much the last two setups took too long, in the mean: a single one may have met a pause.
@@ -352,6 +460,7 @@
             up_since: line.up_since,
             legs: Vec::new(),
             setting_up: 0,
+            elder: 0.0,
             told_load: 0.0,
             told: 0,
             work: 0.0,
@@ -383,6 +492,13 @@
     }
 }
 
+/// What other nodes are held to have on hosts for each unit of size, where they have anything.
+pub(crate) fn held_per_share(hosts: &[Host]) -> f64 {
+    let shares = hosts.iter().filter(|to| to.held > 0.0).map(|to| to.share).sum::<f64>();
+    let held = hosts.iter().map(|to| to.held).sum::<f64>();
+    if held > 0.0 { held / shares.max(1e-9) } else { 1.0 }
+}
+
 /// Carries what other nodes are held to have on each host on by one step: the part `leave` of it ends and
 /// comes again, all of it where the host has gone. Cold hosts are filled first, each by its own warmth and by
 /// no more than the second number; the rest goes to the others by their size.
--- a/src/domain.rs
+++ b/src/domain.rs
@@ -236,3 +236,36 @@
         targets.min().unwrap_or(Span::ms(1000)).seconds().max(1e-3)
     }
 }
+
+/// What one process of a node leaves to the next, of one host.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HostLegacy {
+    pub host: HostId,
+    /// Connections that still stand there.
+    pub open: f64,
+    pub smoothed: f64,
+    /// `None` where none has shown.
+    pub limit: Option<f64>,
+    pub strain: f64,
+    /// It is set aside until it answers probes.
+    pub aside: bool,
+    pub budget: f64,
+    pub held: f64,
+    /// What its answers to probes take as a rule, in seconds.
+    pub answers: f64,
+}
+
+/// What one process of a node leaves to the next.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Legacy {
+    pub hosts: Vec<HostLegacy>,
+    pub loads: Vec<(SubjectId, f64)>,
+    pub mean_load: f64,
+    pub of_type: Vec<f64>,
+    pub arrival: f64,
+    pub held: f64,
+    pub usual_conns: f64,
+    pub size: f64,
+    pub usual_size: f64,
+    pub setup: f64,
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -372,7 +372,7 @@
     /// The design's score: own connections plus the smoothed load, in connections of the mean load.
     fn score(&self, host: usize) -> f64 {
         let load = if self.loads.mean > 0.0 { self.hosts[host].smoothed / self.loads.mean } else { 0.0 };
-        self.hosts[host].legs.len() as f64 + load
+        self.hosts[host].stand() + load
     }
 
     /// The score by the host's size, stretched while the host copes badly. Hosts of another zone carry a
@@ -476,11 +476,7 @@
                 (1.0 - draw(group.0, to.id.0)) / weight
             }));
             let homes = 1 + (self.open * part * f64::from(usable) + 0.75) as usize;
-            self.homes.spare.clone_from(&keys);
-            if homes < self.homes.spare.len() {
-                let (_, last, _) = self.homes.spare.select_nth_unstable_by(homes - 1, f64::total_cmp);
-                self.homes.within = last.min(f64::MAX);
-            }
+            self.homes.bound(&keys, homes);
             for (key, on) in keys.iter_mut().zip(self.groups.on(group)) {
                 *key = if *on > 0 { 0.0 } else { *key };
             }
@@ -500,16 +496,7 @@
 
     fn count_load(&mut self, no: usize, host: usize, sign: f64) {
         self.hosts[host].settle(self.now, self.loads.mean);
-        if let Some(load) = self.calls[no].load {
-            let to = &mut self.hosts[host];
-            to.told_load += sign * load;
-            to.told = to.told.wrapping_add_signed(sign as i32);
-            self.loads.told_load += sign * load;
-            self.loads.told = self.loads.told.wrapping_add_signed(sign as i32);
-        }
-        if self.loads.told > 0 {
-            self.loads.mean = (self.loads.told_load / f64::from(self.loads.told)).max(0.0);
-        }
+        self.loads.count(&mut self.hosts[host], self.calls[no].load, sign);
     }
 
     /// Share of its capacity that a host has for certain by now.
@@ -688,16 +675,13 @@
             let to = &mut self.hosts[host];
             // The document's smoothing constant.
             const ALPHA: f64 = 0.06;
-            to.smoothed = to.smoothed * (1.0 - ALPHA) + (to.work - to.work_before) * ALPHA / elapsed;
-            to.work_before = to.work;
+            to.smooth(ALPHA, elapsed);
             to.broke = 0;
             // Halves in 5 s, the time between two moves; where the node holds nothing it hears nothing.
             to.strain *= if to.legs.is_empty() { 0.97 } else { 0.87 };
         }
         self.likeness += (self.groups.alike() - self.likeness) * (1.0 / self.seconds as f64).max(0.06);
-        self.rates.tried *= 0.8;
-        self.rates.failed *= 0.8;
-        self.rates.broke *= 0.8;
+        self.rates.fade(0.8);
         self.fill_budgets(elapsed);
         self.reckon(elapsed);
         if self.seconds.is_multiple_of(30) {
@@ -829,7 +813,7 @@
         let shares: f64 = ready.map(|to| to.share).sum();
         // Danger: calls that wait, or hosts that are lost, would raise what a host seems to carry, and with
         // it what cold ones are sent: connections that stand count, and what is usual follows them slowly.
-        let stand = self.hosts.iter().map(|to| to.legs.len() - to.setting_up as usize).sum::<usize>();
+        let stand = self.hosts.iter().map(|to| to.stand() - f64::from(to.setting_up)).sum::<f64>();
         let ready = (0..self.hosts.len()).filter(|host| self.hosts[*host].condition == Condition::Ready);
         let size = ready.map(|host| self.size(host)).sum();
         self.rates.weigh(stand, shares, size, 1.0 / self.seconds as f64);
@@ -843,12 +827,7 @@
                 let fill = self.many() * self.rates.held * self.warming_fill(host);
                 let rate = fill.max(self.terms.warming.multiple * warmth * part);
                 let to = &mut self.hosts[host];
-                to.budget += rate * self.now.since(to.budget_at).seconds();
-                // What is not used lapses, or all nodes would hold a call ready for the same moment.
-                if to.budget > 1.0 + rate * self.terms.warming.window.seconds() {
-                    to.budget -= 1.0;
-                }
-                to.budget_at = self.now;
+                to.save_up(rate, self.terms.warming.window, self.now);
             }
         }
     }
@@ -934,7 +913,7 @@
         if !call.returning || call.mid_flow || part >= 1.0 || self.rates.broke < 0.3 {
             return false;
         }
-        let stand = self.hosts.iter().map(|to| to.legs.len()).sum::<usize>() as f64;
+        let stand = self.hosts.iter().map(Host::stand).sum::<f64>();
         draw(call.id.0, self.terms.me.into()) < self.many()
             && stand + self.chance() > part * self.rates.usual_conns.max(1.0)
     }
@@ -1077,6 +1056,39 @@
         }
     }
 
+    // From one process of the node to the next.
+
+    /// What the next process has to know to go on from here.
+    pub fn legacy(&self) -> Legacy {
+        let open = self.calls.iter().filter_map(|(_, held)| held.call.subject.zip(held.load));
+        let loads = self.remembered.all().chain(open).collect();
+        Legacy {
+            hosts: self.hosts.iter().map(Host::legacy).collect(),
+            loads,
+            ..self.rates.legacy(&self.loads)
+        }
+    }
+
+    /// Danger: a process that begins with nothing takes hosts for empty and known to be well, sends cold ones
+    /// a second budget, and holds the clients that the old one sends over for another node's.
+    pub fn inherit(&mut self, legacy: &Legacy) {
+        for of in &legacy.hosts {
+            let Some(host) = self.host_no.get(&of.host) else { continue };
+            self.hosts[*host].inherit(of, self.now);
+        }
+        legacy.loads.iter().for_each(|(subject, load)| self.remembered.keep(Some(*subject), Some(*load)));
+        self.rates.inherit(&mut self.loads, legacy);
+        // Past the time in which means are those of all seconds so far.
+        self.seconds = 50;
+        self.doubt();
+    }
+
+    /// How many connections the process before has at a host now; without a host, at all of them.
+    pub fn elder_at(&mut self, host: Option<HostId>, open: f64) {
+        let at = self.hosts.iter_mut().filter(|to| host.is_none_or(|host| host == to.id));
+        at.for_each(|to| to.elder = open);
+    }
+
     // The host list.
 
     pub fn list_told(&mut self, now: Time, extent: Extent, lines: &[Listed], port: &mut dyn Port) {
@@ -1133,18 +1145,13 @@
 
     /// An unheard-from host's load starts at the others' mean.
     fn add_host(&mut self, line: &Listed) {
-        let mean = match self.hosts.len() {
-            0 => 0.0,
-            n => self.hosts.iter().map(|to| to.smoothed).sum::<f64>() / n as f64,
-        };
+        let mean = self.hosts.iter().map(|to| to.smoothed).sum::<f64>() / self.hosts.len().max(1) as f64;
         self.host_no.insert(line.host, self.hosts.len());
         let at = self.sorted.partition_point(|host| self.hosts[*host].id < line.host);
         self.sorted.insert(at, self.hosts.len());
         let budget = self.first_budget(line.host);
         // One that is not cold is held to have as much for its size as the others.
-        let shares = self.hosts.iter().filter(|to| to.held > 0.0).map(|to| to.share).sum::<f64>();
-        let held = self.hosts.iter().map(|to| to.held).sum::<f64>();
-        let part = if held > 0.0 { line.share * held / shares.max(1e-9) } else { line.share };
+        let part = line.share * held_per_share(&self.hosts);
         self.hosts.push(Host { budget, ..Host::new(line, mean, self.now) });
         let host = self.hosts.len() - 1;
         if line.condition == Condition::Ready && self.warmth(host) >= 1.0 {
