--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -4,12 +4,15 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use rustix::net::sockopt::set_socket_linger;
+use rustix::net;
+use rustix::net::sockopt::{self, set_socket_linger};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use test_case::test_case;
@@ -106,8 +109,65 @@
     }
 }
 
+/// An address that stays this run's own: bound and never listened at. Danger: nodes share their port, so one
+/// that was only free a moment ago may be another run's by now, and each gets the other's clients.
+fn reserve() -> (OwnedFd, SocketAddr) {
+    let fd = net::socket(net::AddressFamily::INET, net::SocketType::STREAM, None).unwrap();
+    sockopt::set_socket_reuseaddr(&fd, true).unwrap();
+    sockopt::set_socket_reuseport(&fd, true).unwrap();
+    net::bind(&fd, &SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = SocketAddr::try_from(net::getsockname(&fd).unwrap()).unwrap();
+    (fd, address)
+}
+
+/// Connects, asks and connects again until it is told to stop; counts what was said, and what was not.
+struct Steady {
+    stop: Arc<AtomicU32>,
+    thread: std::thread::JoinHandle<(u32, Vec<String>)>,
+}
+
+impl Steady {
+    fn start(address: SocketAddr) -> Steady {
+        let stop = Arc::new(AtomicU32::new(0));
+        let told = stop.clone();
+        let ask = move || -> std::io::Result<String> {
+            let mut end = End::new(TcpStream::connect(address)?);
+            end.0.get_mut().write_all(b"PING\r\n")?;
+            let mut line = String::new();
+            end.0.read_line(&mut line)?;
+            Ok(line.trim_end().to_owned())
+        };
+        let thread = std::thread::spawn(move || {
+            let (mut well, mut bad) = (0, vec![]);
+            while told.load(Ordering::Relaxed) == 0 {
+                match ask() {
+                    Ok(line) if line == "PONG" => well += 1,
+                    other => bad.push(format!("{other:?}")),
+                }
+                std::thread::sleep(Duration::from_micros(500));
+            }
+            (well, bad)
+        });
+        Steady { stop, thread }
+    }
+
+    fn end(self) {
+        self.stop.store(1, Ordering::Relaxed);
+        let (well, bad) = self.thread.join().unwrap();
+        assert!(bad.is_empty(), "{well} well, not so {bad:?}");
+        assert!(well > 200, "only {well} in all");
+    }
+}
+
 struct World {
     child: Child,
+    /// Processes of the same node before this one.
+    before: Vec<Child>,
+    folder: std::path::PathBuf,
+    admin: SocketAddr,
+    reserved: Vec<OwnedFd>,
+    steady: Option<Steady>,
+    slow: Vec<TcpStream>,
     config: std::path::PathBuf,
     told: Value,
     listen: SocketAddr,
@@ -120,10 +180,22 @@
 
 impl Drop for World {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        for child in self.before.iter_mut().chain([&mut self.child]) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn start(config: &Path, discovery: &str, folder: &Path, admin: SocketAddr) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_glendeck-node"));
+    for key in ["ROUTER_NAME", "ROUTER_LISTEN", "GLENDECK_LOG"] {
+        command.env_remove(key);
     }
+    command.env("ROUTER_CONFIG", config).env("ROUTER_DISCOVERY", discovery).env("TMPDIR", folder);
+    command.env("ROUTER_ADMIN", admin.to_string()).stderr(Stdio::null()).spawn().unwrap()
 }
 
 fn settings(given: &HashMap<&str, &str>) -> Value {
@@ -164,10 +236,11 @@
             _ => registry.entries.iter().map(|entry| &entry.1).collect(),
         };
         let index = if known.is_empty() { 0 } else { 1 };
-        let (discovery, listen) = (loopback(), loopback().local_addr().unwrap());
+        let discovery = loopback();
+        let ((fd, listen), (other_fd, admin)) = (reserve(), reserve());
         let sockets: u64 = given.get("sockets").map_or(256, |n| n.parse().unwrap());
         let config = json!({
-            "name": "n0", "listen": listen.to_string(), "seed": "00000000000000ff",
+            "name": "n0", "listen": listen.to_string(), "admin": admin.to_string(), "seed": "00000000000000ff",
             "discovery": discovery.local_addr().unwrap().to_string(),
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
             "known": {"index": index, "snapshot": true, "endpoints": known}, "settings": settings(&given),
@@ -177,15 +250,18 @@
         std::fs::write(&path, config.to_string()).unwrap();
         let at = discovery.local_addr().unwrap().to_string();
         let registry = serve_lists(discovery, registry);
-        let mut command = Command::new(env!("CARGO_BIN_EXE_glendeck-node"));
-        for key in ["ROUTER_NAME", "ROUTER_LISTEN", "GLENDECK_LOG"] {
-            command.env_remove(key);
-        }
-        command.env("ROUTER_CONFIG", &path).env("ROUTER_DISCOVERY", at);
-        let child = command.stderr(Stdio::null()).spawn().unwrap();
+        let folder = path.with_extension("tmp");
+        std::fs::create_dir_all(&folder).unwrap();
+        let child = start(&path, &at, &folder, admin);
         let (clients, legs) = Default::default();
         World {
             child,
+            before: vec![],
+            folder,
+            admin,
+            reserved: vec![fd, other_fd],
+            steady: None,
+            slow: vec![],
             config: path,
             told: config,
             listen,
@@ -238,8 +314,109 @@
         ends.get_mut(name).unwrap_or_else(|| panic!("no {side} {name}"))
     }
 
+    /// One call at the operators' door, whole as it comes back.
+    fn call_door(&self, method: &str, path: &str) -> std::io::Result<String> {
+        // It may have been started a moment ago.
+        let until = Instant::now() + PATIENCE;
+        let mut stream = loop {
+            match TcpStream::connect(self.admin) {
+                Err(fault) if fault.kind() == ErrorKind::ConnectionRefused && Instant::now() < until => {}
+                other => break other?,
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        };
+        stream.set_read_timeout(Some(PATIENCE))?;
+        let began = Instant::now();
+        write!(stream, "{method} {path} HTTP/1.1\r\nHost: door\r\nContent-Length: 2\r\n\r\n{{}}")?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text)?;
+        assert!(began.elapsed() < Duration::from_secs(1), "the door took {:?}", began.elapsed());
+        Ok(text)
+    }
+
+    fn figures(&self) -> Value {
+        let text = self.call_door("GET", "/v1/metrics").unwrap();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap();
+        assert!(head.contains(&format!("Content-Length: {}", body.len())), "{text}");
+        serde_json::from_str(body).unwrap()
+    }
+
     fn play(&mut self, words: &[&str]) {
         match words {
+            ["door", "hears", status, text] => {
+                let mut stream = TcpStream::connect(self.admin).unwrap();
+                stream.write_all(text.replace("\\r\\n", "\r\n").replace('_', " ").as_bytes()).unwrap();
+                let mut said = String::new();
+                stream.read_to_string(&mut said).unwrap();
+                assert!(said.starts_with(&format!("HTTP/1.1 {status} ")), "{said}");
+            }
+            ["door", method, path, status] => {
+                let said = self.call_door(method, path).unwrap();
+                assert!(said.starts_with(&format!("HTTP/1.1 {status} ")), "{said}");
+            }
+            ["door", "until", status] => {
+                let until = Instant::now() + PATIENCE;
+                while !self
+                    .call_door("GET", "/v1/readyz")
+                    .is_ok_and(|said| said.starts_with(&format!("HTTP/1.1 {status} ")))
+                {
+                    assert!(Instant::now() < until, "never {status}");
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+            }
+            ["door", "slow", count] => {
+                for _ in 0..count.parse::<u32>().unwrap() {
+                    let mut slow = TcpStream::connect(self.admin).unwrap();
+                    slow.write_all(b"GET /v1/me").unwrap();
+                    self.slow.push(slow);
+                }
+            }
+            // Counts may lag while what ended is still told.
+            ["figures", rest @ ..] => {
+                let until = Instant::now() + Duration::from_secs(2);
+                loop {
+                    let figures = self.figures();
+                    let wrong = rest.iter().find(|want| {
+                        let (name, number) = want.split_once('=').unwrap();
+                        let path = format!("/{}", name.replace('.', "/"));
+                        let found = figures.pointer(&path).or(figures.pointer(&format!("/calls{path}")));
+                        found.and_then(Value::as_u64) != number.parse().ok()
+                    });
+                    let Some(wrong) = wrong else { break };
+                    assert!(Instant::now() < until, "{figures} lacks {wrong}");
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+            }
+            ["next"] => {
+                let (fd, admin) = reserve();
+                let discovery = self.told["discovery"].as_str().unwrap().to_owned();
+                let next = start(&self.config, &discovery, &self.folder, admin);
+                self.before.push(std::mem::replace(&mut self.child, next));
+                (self.admin, self.asked) = (admin, Instant::now());
+                self.reserved.push(fd);
+            }
+            ["old", "term"] => {
+                kill_process(Pid::from_child(self.before.last().unwrap()), Signal::TERM).unwrap();
+                self.asked = Instant::now();
+            }
+            ["old", "exit", code] => {
+                let status = self.before.last_mut().unwrap().wait().unwrap();
+                assert_eq!(status.code(), Some(code.parse().unwrap()));
+            }
+            ["kill"] => self.child.kill().unwrap(),
+            ["old", "kill"] => self.before.last_mut().unwrap().kill().unwrap(),
+            // The next process dies, and the one before is this node's again.
+            ["next", "kill"] => {
+                self.child.kill().unwrap();
+                self.child.wait().unwrap();
+                self.child = self.before.pop().unwrap();
+            }
+            ["steady", "start"] => self.steady = Some(Steady::start(self.listen)),
+            ["steady", "stop"] => self.steady.take().unwrap().end(),
+            ["folder", "gone"] => {
+                std::fs::remove_dir_all(&self.folder).unwrap();
+            }
+            ["pause", s] => std::thread::sleep(Duration::from_secs_f64(s.parse().unwrap())),
             ["pong"] => {
                 let until = Instant::now() + PATIENCE;
                 let mut front = self.connect();
@@ -439,6 +616,12 @@
 #[test_case("restart"; "told to end, it sends all clients away and exits")]
 #[test_case("rude"; "who says nothing, half a line or another's id is turned away and disturbs nobody")]
 #[test_case("reload"; "a new configuration is followed under load, a bad one is not")]
+#[test_case("door"; "the operators' door answers whatever comes there, and its figures hold")]
+#[test_case("drain"; "a drained node sends its clients away, stays, and comes back")]
+#[test_case("upgrade"; "the next process takes over and no connection meets a closed door")]
+#[test_case("upgrade_alone"; "without a folder for it the next process listens beside the old one")]
+#[test_case("upgrade_undone"; "a next process that dies leaves the clients to the old one")]
+#[test_case("upgrade_drained"; "a drain holds across a replacement")]
 #[test_case("discovery"; "a node goes on without the list's service")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
