--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,5 +1,7 @@
 //! Clients, as the front deals them out: how a connection begins, what is answered, and what they send on.
 
+use std::os::fd::OwnedFd;
+
 use glendeck::domain::{Call, CallId, Ending, Span, Time};
 use rustix::io::Errno;
 use rustix::net::{self, SocketFlags};
@@ -55,10 +57,7 @@
             let Some(listener) = &self.listener else { return };
             match net::accept_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
                 Ok(fd) => {
-                    if let Some(id) = self.add_conn(Conn::new(fd, false), Role::Client(None)) {
-                        self.deadlines.set(self.now + FIRST_LINE, Due::FirstLine(id));
-                        self.note_idle(id);
-                    }
+                    self.take_client(fd, Vec::new());
                 }
                 Err(Errno::AGAIN) => return,
                 Err(Errno::INTR | Errno::CONNABORTED) => {}
@@ -70,6 +69,16 @@
         }
     }
 
+    /// A client that has not opened anything, with what has come from it.
+    pub fn take_client(&mut self, fd: OwnedFd, inbox: Vec<u8>) {
+        let mut conn = Conn::new(fd, false);
+        conn.inbox = inbox;
+        if let Some(id) = self.add_conn(conn, Role::Client(None)) {
+            self.deadlines.set(self.now + FIRST_LINE, Due::FirstLine(id));
+            self.note_idle(id);
+        }
+    }
+
     /// Danger: connections by the hundred that say nothing, or ask for PONG and stay, or linger after their
     /// answer, take every descriptor, and usual clients wait unaccepted. When so many are not free, the
     /// longest idle go.
--- a/crates/node/src/conn.rs
+++ b/crates/node/src/conn.rs
@@ -102,6 +102,16 @@
         flags
     }
 
+    /// What is still to go.
+    pub fn to_go(&self) -> &[u8] {
+        &self.outbox[self.sent..]
+    }
+
+    /// Nothing has ended or failed on it.
+    pub fn is_sound(&self) -> bool {
+        !(self.connecting || self.read_ended || self.finish || self.broken)
+    }
+
     pub fn unsent(&self) -> usize {
         self.outbox.len() - self.sent
     }
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -3,17 +3,20 @@
 //! The next process asks at a Unix socket in the node's own folder. On that one line it gets [`Standing`] with
 //! the socket, says when it serves, and hears how the process before empties; its end is the end of the line.
 
+use std::collections::VecDeque;
 use std::io::{IoSlice, IoSliceMut, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::os::fd::{AsFd, OwnedFd};
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use glendeck::domain::{
-    Cell, Condition, Extent, HostId, HostLegacy, Legacy, Listed, Span, SubjectId, Time, Zone,
+    Call, CallId, Cell, Condition, Ending, Extent, GroupId, HostId, HostLegacy, LegNo, Legacy, Listed, Span,
+    SubjectId, TenantId, Time, TrafficId, Zone,
 };
+use rustix::io::Errno;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, getsockname, recvmsg, sendmsg,
@@ -22,9 +25,10 @@
 use tracing::{debug, info, warn};
 
 use crate::conn::{Conn, Got};
-use crate::line::{LONGEST, first_line};
+use crate::hosts::SEND_AWAY;
+use crate::line::{ClientId, LONGEST, first_line};
 use crate::list::Told;
-use crate::service::{ConnId, Due, Phase, Role, Service};
+use crate::service::{ConnId, Due, Held, Leg, LegEnd, Phase, Role, Service, Stage};
 
 /// What the next process says first, and what stands before the message; another version says another number.
 const HEIR: &str = "HEIR 1";
@@ -41,6 +45,12 @@
 /// A host's figures take some 250 bytes, a client's load 40.
 const LONGEST_MESSAGE: usize = 4 << 20;
 
+/// When the line is full it is tried again after this: the next process reads it each turn.
+const FULL_LINE: Span = Span::ms(5);
+
+/// Pieces of the line that are read in one turn.
+const READS: usize = 64;
+
 /// Clients whose loads are told.
 const CLIENTS: usize = 10_000;
 
@@ -50,6 +60,8 @@
     /// Where the next process asks.
     door: Option<UnixListener>,
     heir: Option<ConnId>,
+    /// The next process has been told what is known; from then on it hears of changes.
+    heir_told: bool,
     /// The next process has said that it serves.
     heir_serves: bool,
     elder: Option<ConnId>,
@@ -57,6 +69,11 @@
     pub waited: bool,
     /// Descriptors that the process before holds.
     pub other_uses: usize,
+    /// What is still to go over to the next process.
+    calls: VecDeque<CallId>,
+    idle: VecDeque<ConnId>,
+    /// What came from the process before and whose line has not come whole.
+    sockets: VecDeque<OwnedFd>,
     /// The node was drained when this process was started.
     pub drained: bool,
 }
@@ -161,6 +178,16 @@
     Ok((fd, Some(message)))
 }
 
+fn hex(bytes: &[u8]) -> String {
+    // A sign before it, so that nothing is a word too.
+    bytes.iter().fold(String::from("x"), |text, byte| text + &format!("{byte:02x}"))
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    let digits = text.strip_prefix('x').filter(|digits| digits.len() % 2 == 0 && digits.is_ascii())?;
+    (0..digits.len()).step_by(2).map(|at| u8::from_str_radix(&digits[at..at + 2], 16).ok()).collect()
+}
+
 fn condition(text: &str) -> Option<Condition> {
     match text {
         "ready" => Some(Condition::Ready),
@@ -321,23 +348,17 @@
         let message = encode(&Standing { list: self.hosts.told(index), node, drained }).to_string();
         let head = format!("{STANDING} {}\n", message.len());
         let uses = self.descriptors();
-        let (Some(seat), Some(listener)) = (self.conns.get_mut(id.0), &self.listener) else {
-            return self.heir_gone(id);
+        let Some(listener) = &self.listener else { return self.heir_gone(id) };
+        let rest = match self.send_sockets(id, &head, &[listener.as_fd()]) {
+            Ok(rest) => rest,
+            Err(fault) => {
+                warn!(%fault, "cannot hand over");
+                return self.heir_gone(id);
+            }
         };
-        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-        let mut control = SendAncillaryBuffer::new(&mut space);
-        let fds = [listener.as_fd()];
-        let fits = control.push(SendAncillaryMessage::ScmRights(&fds));
-        let sent =
-            sendmsg(&seat.conn.fd, &[IoSlice::new(head.as_bytes())], &mut control, SendFlags::NOSIGNAL);
-        if !fits || sent != Ok(head.len()) {
-            warn!(?sent, "cannot hand over");
-            return self.heir_gone(id);
-        }
         info!(calls = self.calls.len(), "handing over to the next process");
-        seat.conn.outbox.extend_from_slice(message.as_bytes());
-        seat.conn.outbox.extend_from_slice(format!("USES {uses}\n").as_bytes());
-        self.pump(id);
+        self.handover.heir_told = true;
+        self.say_on(id, &format!("{rest}{message}USES {uses}\n"));
     }
 
     /// The next process serves: from here on it takes the clients.
@@ -357,7 +378,7 @@
         if self.handover.heir != Some(id) {
             return;
         }
-        self.handover.heir = None;
+        (self.handover.heir, self.handover.heir_told) = (None, false);
         if !std::mem::take(&mut self.handover.heir_serves) {
             return info!("the next process has gone");
         }
@@ -372,16 +393,117 @@
         self.await_heir();
     }
 
-    /// What is open at a host has changed.
-    pub fn tell_heir(&mut self, host: HostId) {
-        let Some(id) = self.handover.heir else { return };
-        let said = format!("AT {:x} {}\nUSES {}\n", host.0, self.hosts.open_at(host), self.descriptors());
+    /// Told to end: what is open goes over, and so do clients that have not opened anything yet.
+    pub fn hand_over_calls(&mut self) {
+        let open = self.calls.iter().filter(|(_, held)| held.stage == Stage::Open);
+        self.handover.calls = open.map(|(number, _)| CallId(number)).collect();
+        let idle = self.conns.iter().filter(|(_, seat)| seat.role == Role::Client(None));
+        self.handover.idle = idle.map(|(number, _)| ConnId(number)).collect();
+        self.hand_on();
+    }
+
+    pub fn hand_over_call(&mut self, call: CallId) {
+        self.handover.calls.push_back(call);
+        self.hand_on();
+    }
+
+    /// As much as the line takes; the rest when it has room again.
+    pub fn hand_on(&mut self) {
+        let Some(id) = self.handover.heir.filter(|_| self.handover.heir_serves) else { return };
+        while self.conns.get(id.0).is_some_and(|seat| seat.conn.unsent() == 0) {
+            let sent = match (self.handover.calls.front(), self.handover.idle.front()) {
+                (Some(call), _) => self.hand_call(id, *call),
+                (None, Some(conn)) => self.hand_idle(id, *conn),
+                (None, None) => return,
+            };
+            match sent {
+                Err(Errno::AGAIN) => return self.deadlines.set(self.now + FULL_LINE, Due::HandOn),
+                Err(fault) => {
+                    warn!(%fault, "connections cannot go over: their clients move");
+                    self.handover.calls.clear();
+                    return self.handover.idle.clear();
+                }
+                Ok(()) if self.handover.calls.pop_front().is_some() => {}
+                Ok(()) => drop(self.handover.idle.pop_front()),
+            }
+        }
+    }
+
+    /// Danger: an end that has been seen here would not be seen there. What has ended on one side ends here.
+    fn hand_call(&mut self, id: ConnId, call: CallId) -> Result<(), Errno> {
+        let Some(held) = self.calls.get(call.0).filter(|held| held.stage == Stage::Open) else {
+            return Ok(());
+        };
+        let (Some(client), Some(leg)) = (held.client, &held.leg) else { return Ok(()) };
+        let (Some(ours), Some(theirs)) = (self.conns.get(client.0), self.conns.get(leg.conn.0)) else {
+            return Ok(());
+        };
+        if held.last.is_some() || !ours.conn.is_sound() || !theirs.conn.is_sound() {
+            return Ok(());
+        }
+        let of = &held.call;
+        let said = json!({
+            "id": held.id.0, "traffic": of.traffic.0, "tenant": of.tenant.0,
+            "subject": of.subject.map(|subject| subject.0), "group": of.group.map(|group| group.0),
+            "load": of.load, "host": leg.host.0, "asked": held.asked.map(|asked| self.now.since(asked).0),
+            "client_in": hex(&ours.conn.inbox), "client_out": hex(ours.conn.to_go()),
+            "host_in": hex(&theirs.conn.inbox), "host_out": hex(theirs.conn.to_go()),
+        });
+        let (host, conn, no) = (leg.host, leg.conn, leg.no);
+        let line = format!("CALL {said}\n");
+        let rest = self.send_sockets(id, &line, &[ours.conn.fd.as_fd(), theirs.conn.fd.as_fd()])?;
+        // From here on it is the next process's.
+        self.give_up_conn(client);
+        self.give_up_conn(conn);
+        self.forget_call(call);
+        self.legs_out -= 1;
+        self.hosts.closed(host, call);
+        self.ended.push_back(LegEnd { call, leg: no, ending: Ending::Recalled, last: true });
+        self.say_on(id, &rest);
+        self.tell_heir(host);
+        self.settle();
+        Ok(())
+    }
+
+    fn hand_idle(&mut self, id: ConnId, conn: ConnId) -> Result<(), Errno> {
+        let Some(seat) = self.conns.get(conn.0) else { return Ok(()) };
+        if seat.role != Role::Client(None) || !seat.conn.is_sound() || seat.conn.unsent() > 0 {
+            return Ok(());
+        }
+        let line = format!("IDLE {}\n", hex(&seat.conn.inbox));
+        let rest = self.send_sockets(id, &line, &[seat.conn.fd.as_fd()])?;
+        self.give_up_conn(conn);
+        self.say_on(id, &rest);
+        Ok(())
+    }
+
+    /// Sends a line with the sockets that belong to it, and hands back what did not fit.
+    fn send_sockets(&self, id: ConnId, line: &str, fds: &[BorrowedFd<'_>]) -> Result<String, Errno> {
+        let seat = self.conns.get(id.0).ok_or(Errno::PIPE)?;
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        if !control.push(SendAncillaryMessage::ScmRights(fds)) {
+            return Err(Errno::NOBUFS);
+        }
+        let bytes = [IoSlice::new(line.as_bytes())];
+        let sent = sendmsg(&seat.conn.fd, &bytes, &mut control, SendFlags::NOSIGNAL)?;
+        Ok(line[sent..].to_owned())
+    }
+
+    fn say_on(&mut self, id: ConnId, text: &str) {
         if let Some(seat) = self.conns.get_mut(id.0) {
-            seat.conn.outbox.extend_from_slice(said.as_bytes());
+            seat.conn.outbox.extend_from_slice(text.as_bytes());
         }
         self.pump(id);
     }
 
+    /// What is open at a host has changed.
+    pub fn tell_heir(&mut self, host: HostId) {
+        let Some(id) = self.handover.heir.filter(|_| self.handover.heir_told) else { return };
+        let said = format!("AT {:x} {}\nUSES {}\n", host.0, self.hosts.open_at(host), self.descriptors());
+        self.say_on(id, &said);
+    }
+
     // Towards the process before.
 
     pub fn follow_elder(&mut self, line: UnixStream) {
@@ -398,24 +520,37 @@
         self.await_heir();
         self.listen_for(true);
         if let Some(id) = self.handover.elder {
-            if let Some(seat) = self.conns.get_mut(id.0) {
-                seat.conn.outbox.extend_from_slice(format!("{SERVING}\n").as_bytes());
-            }
-            self.pump(id);
+            self.say_on(id, &format!("{SERVING}\n"));
         }
     }
 
-    pub fn elder_came(&mut self, id: ConnId, got: Got) {
-        let Got::Bytes(n) = got else {
-            return if matches!(got, Got::End) {
-                self.elder_gone(id)
+    /// Danger: plain reading would lose the sockets that come with the lines.
+    pub fn elder_readable(&mut self, id: ConnId) {
+        for _ in 0..READS {
+            let Some(seat) = self.conns.get_mut(id.0) else { return };
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+            let mut control = RecvAncillaryBuffer::new(&mut space);
+            let buffers = &mut [IoSliceMut::new(&mut self.scratch)];
+            let got = match recvmsg(&seat.conn.fd, buffers, &mut control, RecvFlags::CMSG_CLOEXEC) {
+                Ok(got) if got.bytes > 0 => got.bytes,
+                Err(Errno::AGAIN) => return,
+                Err(Errno::INTR) => continue,
+                _ => return self.elder_gone(id),
             };
-        };
-        let Some(seat) = self.conns.get_mut(id.0) else { return };
-        seat.conn.inbox.extend_from_slice(&self.scratch[..n]);
+            for message in control.drain() {
+                if let RecvAncillaryMessage::ScmRights(fds) = message {
+                    self.handover.sockets.extend(fds);
+                }
+            }
+            seat.conn.inbox.extend_from_slice(&self.scratch[..got]);
+            self.elder_lines(id);
+        }
+    }
+
+    fn elder_lines(&mut self, id: ConnId) {
         while let Some(seat) = self.conns.get_mut(id.0) {
             let Some(length) = first_line(&seat.conn.inbox) else {
-                return if seat.conn.inbox.len() > LONGEST {
+                return if seat.conn.inbox.len() > LONGEST_MESSAGE {
                     self.elder_gone(id)
                 };
             };
@@ -428,11 +563,85 @@
                     }
                 }
                 ["USES", uses] => self.handover.other_uses = uses.parse().unwrap_or(0),
+                ["CALL", call] => {
+                    let (client, host) =
+                        (self.handover.sockets.pop_front(), self.handover.sockets.pop_front());
+                    let adopted = client.zip(host).and_then(|ends| self.adopt_call(call, ends));
+                    if adopted.is_none() {
+                        warn!("a call of the process before cannot be read: its connections end");
+                    }
+                }
+                ["IDLE", inbox] => {
+                    let fd = self.handover.sockets.pop_front();
+                    if let Some((fd, inbox)) = fd.zip(unhex(inbox)) {
+                        self.take_client(fd, inbox);
+                    }
+                }
                 _ => debug!(%said, "the process before said something unknown"),
             }
         }
     }
 
+    /// A connection that the process before had open: here it goes on where it stood there.
+    fn adopt_call(&mut self, text: &str, (client, host): (OwnedFd, OwnedFd)) -> Option<()> {
+        let json: Value = serde_json::from_str(text).ok()?;
+        let whole = |key: &str| json.get(key)?.as_u64();
+        let bytes = |key: &str| unhex(json.get(key)?.as_str()?);
+        let call = Call {
+            id: CallId(0),
+            traffic: TrafficId(u8::try_from(whole("traffic")?).ok()?),
+            tenant: TenantId(u32::try_from(whole("tenant")?).ok()?),
+            subject: whole("subject").map(SubjectId),
+            group: whole("group").map(GroupId),
+            guard: self.now,
+            load: json.get("load").and_then(Value::as_f64),
+            // It did not come from elsewhere.
+            returning: false,
+            mid_flow: false,
+        };
+        // Danger: what the settings of this process do not know would be counted out of bounds.
+        let names = &self.startup.names;
+        if usize::from(call.traffic.0) >= names.traffic.len() {
+            return None;
+        }
+        let (id, at) = (ClientId(whole("id")?), HostId(whole("host")?));
+        let (mut ours, mut theirs) = (Conn::new(client, false), Conn::new(host, false));
+        (ours.inbox, ours.outbox) = (bytes("client_in")?, bytes("client_out")?);
+        (theirs.inbox, theirs.outbox) = (bytes("host_in")?, bytes("host_out")?);
+        let asked = whole("asked").map(|ago| self.now - Span(ago));
+        let client = self.add_conn(ours, Role::Client(None))?;
+        let Some(host) = self.add_conn(theirs, Role::Client(None)) else {
+            self.drop_conn(client);
+            return None;
+        };
+        let mut held = Held::new(id, client, Vec::new(), 0..0, call, Stage::Open, None);
+        let no = LegNo(0);
+        let (sent, limit, line_out, line_gone) = (self.now, self.now, true, true);
+        (held.legs, held.leg) = (1, Some(Leg { no, host: at, conn: host, sent, limit, line_out, line_gone }));
+        (held.asked, held.silence_set) = (asked, asked.is_some());
+        let number = CallId(self.calls.insert(held));
+        self.calls.get_mut(number.0)?.call.id = number;
+        self.ids.insert(id);
+        self.legs_out += 1;
+        for (conn, role) in [(client, Role::Client(Some(number))), (host, Role::Host(number))] {
+            if let Some(seat) = self.conns.get_mut(conn.0) {
+                seat.role = role;
+            }
+        }
+        self.hosts.opened(at, number);
+        let (now, call) = (self.now, Call { id: number, ..call });
+        self.tell(|node, _| node.connection_found(now, call, at));
+        if asked.is_some() {
+            self.deadlines.set(now, Due::Silence(number));
+        }
+        if self.hosts.is_leaving(at) {
+            self.deadlines.set(now + SEND_AWAY, Due::Move(number));
+        }
+        self.pump(client);
+        self.pump(host);
+        Some(())
+    }
+
     /// The process before has ended, or will not be heard: what it held is gone, and the socket is ours.
     pub fn elder_gone(&mut self, id: ConnId) {
         self.drop_conn(id);
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -22,7 +22,7 @@
 const PROBE_LIMIT: Span = Span::ms(500);
 
 /// Clients of a leaving host go one by one within this time: little enough for the shortest drain.
-const SEND_AWAY: Span = Span::ms(1_000);
+pub const SEND_AWAY: Span = Span::ms(1_000);
 
 /// A connection that was open before is tried again so soon where its host could not be reached.
 const AGAIN: Span = Span::ms(250);
@@ -93,7 +93,7 @@
         self.0.get(&host).map_or(0, |known| known.open.len())
     }
 
-    fn is_leaving(&self, host: HostId) -> bool {
+    pub fn is_leaving(&self, host: HostId) -> bool {
         self.0.get(&host).is_some_and(|known| known.condition == Condition::Draining)
     }
 
@@ -331,8 +331,8 @@
         if self.hosts.is_leaving(host) {
             self.deadlines.set(now + SEND_AWAY, Due::Move(call));
         }
-        self.move_before_leaving(call);
         self.relay_to_client(id, call);
+        self.move_before_leaving(call);
     }
 
     fn relay_to_client(&mut self, id: ConnId, call: CallId) {
--- a/crates/node/src/reactor.rs
+++ b/crates/node/src/reactor.rs
@@ -27,6 +27,12 @@
         epoll::add(&self.epoll, fd, epoll::EventData::new_u64(number), flags)
     }
 
+    /// Danger: what is watched is the open socket, not this process's number of it. One that another process holds
+    /// too stays watched after the close here, and its events would never end.
+    pub fn remove(&self, fd: impl AsFd) {
+        let _ = epoll::delete(&self.epoll, fd);
+    }
+
     pub fn change(&self, fd: impl AsFd, number: u64, flags: Flags) -> Result<(), Errno> {
         epoll::modify(&self.epoll, fd, epoll::EventData::new_u64(number), flags)
     }
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -187,6 +187,10 @@
     Accept,
     /// The process before is not waited with any longer for the list.
     TakeOver,
+    /// The line to the next process was full.
+    HandOn,
+    /// Replaced and told to end, with nothing left to do.
+    LeaveEarly,
     /// The front has stopped sending.
     StopAccepting,
     Exit,
@@ -287,6 +291,9 @@
 /// Those that open while the node leaves go within so long.
 const LATE: Span = Span::ms(300);
 
+/// Connections go over to the next process within milliseconds; what has not by then is moved.
+const HANDED: Span = Span::ms(200);
+
 /// The last clients are sent away this long before the exit, so that their connections end in peace.
 const LAST_MOVES: Span = Span::ms(500);
 
@@ -455,6 +462,7 @@
             Role::Host(call) => self.calls.get(call.0).and_then(|held| held.client),
             Role::Closing => return self.closing_came(id),
             Role::Admin => return self.caller_over(id),
+            Role::Heir => return self.hand_on(),
             _ => None,
         };
         if let Some(other) = other
@@ -476,6 +484,9 @@
             return;
         }
         let role = seat.role;
+        if role == Role::Elder {
+            return self.elder_readable(id);
+        }
         // A connection that has not opened needs room for one line.
         let most = if role == Role::Client(None) { LONGEST } else { MUCH };
         let got = match seat.conn.read(&mut self.scratch[..most]) {
@@ -489,7 +500,7 @@
             Role::List(ask, _) => self.list_came(id, ask, got),
             Role::Admin => self.caller_came(id, got),
             Role::Heir => self.heir_came(id, got),
-            Role::Elder => self.elder_came(id, got),
+            Role::Elder => {}
             Role::Closing => {
                 if let Got::Bytes(n) = got {
                     seat.conn.discarded += n;
@@ -559,6 +570,8 @@
                 self.ready_now();
             }
             Due::StopAccepting => self.stop_accepting(),
+            Due::HandOn => self.hand_on(),
+            Due::LeaveEarly => self.leave_early(),
             Due::Exit => self.exit(),
         }
         self.settle();
@@ -637,18 +650,34 @@
         // Where the next process serves already, clients have somewhere to go from the first moment.
         let replaced = self.handover.is_replaced();
         let first = (until - LAST_MOVES - MOVES).max(self.now + STILL_COMING);
-        let first = if replaced { self.now } else { first };
+        // What cannot be handed over, that is: the rest has no move to wait for.
+        let first = if replaced { self.now + HANDED } else { first };
         let span = (until - LAST_MOVES).since(first);
         for (at, call) in open.iter().enumerate() {
             let due = first + span.times(at as f64 / open.len() as f64);
             self.deadlines.set(due, Due::Move(*call));
         }
+        if replaced {
+            self.hand_over_calls();
+            self.leave_early();
+        }
+    }
+
+    /// Replaced, it has no reason to stay once its last call has ended or gone over.
+    fn leave_early(&mut self) {
+        let busy = |seat: &Seat| matches!(seat.role, Role::Client(_) | Role::Host(_) | Role::Closing);
+        if self.calls.len() == 0 && !self.conns.iter().any(|(_, seat)| busy(seat)) {
+            self.exit();
+        } else {
+            self.deadlines.set(self.now + HANDED, Due::LeaveEarly);
+        }
     }
 
     /// A connection that opens while the node sends its clients away goes with the last ones. Danger: sent
     /// together, they come back together; each goes at a moment of its own.
     pub fn move_before_leaving(&mut self, call: CallId) {
         let (first, last) = match self.phase {
+            Phase::Leaving { .. } if self.handover.is_replaced() => return self.hand_over_call(call),
             Phase::Leaving { until } => (until - LAST_MOVES - LATE, until - LAST_MOVES),
             Phase::Draining { since } if self.now >= since + STILL_SENT => (self.now, since + EMPTY),
             _ => return,
@@ -809,6 +838,13 @@
         self.conns.remove(id.0);
     }
 
+    /// Takes a socket out of the tables to leave it to another process: it is not ended.
+    pub fn give_up_conn(&mut self, id: ConnId) {
+        if let Some(seat) = self.conns.remove(id.0) {
+            self.reactor.remove(&seat.conn.fd);
+        }
+    }
+
     pub fn reset_conn(&mut self, id: ConnId) {
         if let Some(seat) = self.conns.remove(id.0) {
             seat.conn.reset_on_close();
