--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -284,9 +284,9 @@
 const STILL_SENT: Span = Span::ms(350);
 
 /// Clients that stood when the front stopped are sent away by now, each at its own moment; those whose calls
-/// waited, by then; a drained node is looked at after 4 s.
-const DRAINED: Span = Span::ms(3_000);
-const EMPTY: Span = Span::ms(3_600);
+/// waited, by then; a drained node is looked at after 4 s. The longer, the fewer setups a second elsewhere.
+const DRAINED: Span = Span::ms(3_400);
+const EMPTY: Span = Span::ms(3_700);
 
 /// Those that open while the node leaves go within so long.
 const LATE: Span = Span::ms(300);
