--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -34,6 +34,8 @@
 const HEIR: &str = "HEIR 1";
 const STANDING: &str = "STANDING 1";
 const SERVING: &str = "SERVING";
+/// It has been replaced in its turn: its end leaves the clients to others.
+const SUCCEEDED: &str = "SUCCEEDED";
 
 /// A loop's turn takes milliseconds; a process that does not answer for so long is not waited for.
 const PATIENCE: Duration = Duration::from_millis(1_000);
@@ -64,6 +66,8 @@
     heir_told: bool,
     /// The next process has said that it serves.
     heir_serves: bool,
+    /// And that another serves in its place.
+    succeeded: bool,
     elder: Option<ConnId>,
     /// The list's service had its time to answer before this process takes over.
     pub waited: bool,
@@ -334,6 +338,7 @@
             match said.trim_ascii_end() {
                 said if said == HEIR.as_bytes() => self.hand_over(id),
                 said if said == SERVING.as_bytes() => self.replaced(),
+                said if said == SUCCEEDED.as_bytes() => self.handover.succeeded = true,
                 _ => {
                     warn!("the next process is of another version");
                     return self.heir_gone(id);
@@ -365,6 +370,9 @@
     fn replaced(&mut self) {
         info!(calls = self.calls.len(), "replaced: the next process takes the clients");
         self.handover.heir_serves = true;
+        if let Some(elder) = self.handover.elder {
+            self.say_on(elder, &format!("{SUCCEEDED}\n"));
+        }
         self.handover.door = None;
         self.listen_for(false);
         if matches!(self.phase, Phase::Serving | Phase::Starting) {
@@ -379,6 +387,10 @@
             return;
         }
         (self.handover.heir, self.handover.heir_told) = (None, false);
+        // Danger: two upgrades in a row, and the process before both took clients again beside the last one.
+        if self.handover.succeeded {
+            return;
+        }
         if !std::mem::take(&mut self.handover.heir_serves) {
             return info!("the next process has gone");
         }
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -581,7 +581,8 @@
 
     /// It serves once it knows a host that is ready.
     pub fn ready_now(&mut self) {
-        let waits = self.handover.follows() && !self.list.heard && !self.handover.waited;
+        let asks = self.startup.terms.ask_within.is_some();
+        let waits = asks && self.handover.follows() && !self.list.heard && !self.handover.waited;
         if self.phase == Phase::Starting && self.hosts.any_ready() && !waits {
             self.phase = Phase::Serving;
             info!(name = %self.startup.name, "serving");
