--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -664,3 +664,82 @@
         self.ready_now();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn standing() -> Standing {
+        let host = HostId(7);
+        let listed = Listed {
+            host,
+            zone: Zone(1),
+            cell: Cell(2),
+            condition: Condition::Draining,
+            share: 1.5,
+            up_since: Some(Time(9)),
+        };
+        let of = HostLegacy {
+            host,
+            open: 3.0,
+            smoothed: 0.5,
+            limit: None,
+            strain: 0.1,
+            aside: true,
+            budget: -0.5,
+            held: 1.0,
+            answers: 0.001,
+        };
+        let node = Legacy {
+            hosts: vec![of, HostLegacy { limit: Some(4.0), ..of }],
+            loads: vec![(SubjectId(u64::MAX), 0.25)],
+            of_type: vec![0.1, 0.2],
+            arrival: 2.0,
+            ..Legacy::default()
+        };
+        let addresses = vec![(host, "127.0.0.1:4000".parse().unwrap())];
+        let list = Told { index: 41, extent: Extent::Whole, lines: vec![listed], addresses };
+        Standing { list, node, drained: true }
+    }
+
+    #[test]
+    fn what_is_told_is_read_the_same() {
+        let zones = ["x".to_owned(), "y".to_owned()];
+        let (told, text) = (standing(), encode(&standing()).to_string());
+        let read = decode(text.as_bytes(), &zones).unwrap();
+        assert_eq!((&read.node, read.drained), (&told.node, true));
+        assert_eq!(
+            (read.list.index, &read.list.lines, &read.list.addresses),
+            (41, &told.list.lines, &told.list.addresses)
+        );
+        // A zone that the settings do not name any more is none of ours.
+        assert_eq!(decode(text.as_bytes(), &[]).unwrap().list.lines[0].zone, Zone(0));
+    }
+
+    /// Danger: half a message taken for a whole one would be hosts taken for empty. It is all or nothing.
+    #[test]
+    fn what_is_amiss_counts_for_nothing() {
+        let text = encode(&standing()).to_string();
+        for end in 0..text.len() {
+            assert!(decode(&text.as_bytes()[..end], &[]).is_none());
+        }
+        for key in
+            ["index", "list", "hosts", "loads", "of_type", "drained", "address", "condition", "open", "aside"]
+        {
+            let other = text.replace(&format!("\"{key}\":"), "\"other\":");
+            assert!(decode(other.as_bytes(), &[]).is_none(), "without {key}");
+        }
+        let wrong = text.replace("\"draining\"", "\"well\"");
+        assert!(decode(wrong.as_bytes(), &[]).is_none());
+    }
+
+    #[test]
+    fn bytes_pass_unchanged() {
+        let all: Vec<u8> = (0..=255).collect();
+        assert_eq!(unhex(&hex(&all)), Some(all));
+        assert_eq!(unhex(&hex(b"")), Some(vec![]));
+        for wrong in ["", "00", "x0", "xzz", "x\u{e9}"] {
+            assert_eq!(unhex(wrong), None);
+        }
+    }
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -71,6 +71,8 @@
     sent: HashMap<CallId, u16>,
     /// How long hosts take to set a leg up, where it is not 20 ms.
     setups: HashMap<HostId, Span>,
+    /// What the process before left.
+    legacy: Legacy,
 }
 
 fn seconds(text: &str) -> Span {
@@ -257,6 +259,16 @@
                 let lines: Vec<_> = hosts.split(',').map(|host| self.line(host, condition, &given)).collect();
                 self.node.list_told(self.now, Extent::Changes, &lines, &mut self.log);
             }
+            ["heir", ..] => {
+                self.legacy = self.node.legacy();
+                (self.due, self.legs, self.log.new) = Default::default();
+                self.node = Node::start(terms(words), 7, self.now, &mut self.log);
+            }
+            ["inherits"] => self.node.inherit(&self.legacy),
+            ["elder", host, open] => {
+                let host = self.host(host);
+                self.node.elder_at(Some(host), open.parse().unwrap());
+            }
             ["list", "failed"] => self.node.list_failed(self.now, &mut self.log),
             ["host", host, way] => {
                 let host = self.host(host);
@@ -356,6 +368,7 @@
 #[test_case("guests"; "clients that another node sent away open its hosts and the limits")]
 #[test_case("broken_last"; "a host whose last connection broke is taken up again")]
 #[test_case("worth"; "waiting calls are placed by revenue for their load")]
+#[test_case("heir"; "the next process of a node goes on where the one before stands")]
 #[test_case("leaving"; "a client that leaves is owed nothing")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
@@ -378,6 +391,7 @@
             legs: BTreeMap::new(),
             sent: HashMap::new(),
             setups: HashMap::new(),
+            legacy: Legacy::default(),
         };
         player.settle();
         for words in part.iter().filter(|words| !words.is_empty()) {
