--- a/src/rules.rs
+++ b/src/rules.rs
@@ -388,6 +388,11 @@
         many(&self.terms)
     }
 
+    /// Near 1 for a few nodes, 0 from a dozen on.
+    fn few(&self) -> f64 {
+        (1.0 - 2.0 * self.many()).max(0.0)
+    }
+
     /// What the other nodes are held to have on a host for its size, each as much as this node has in all.
     fn others(&self, host: usize) -> f64 {
         let nodes = f64::from(self.terms.nodes.max(1)) - 1.0;
@@ -928,16 +933,15 @@
         self.rates.guests += f64::from(u8::from(guest));
         // Danger: limits in connections of ours, from when others had theirs there too, keep those out.
         for host in 0..if guest && self.taken_over() > 0.0 { self.hosts.len() } else { 0 } {
-            self.hosts[host].limit += self.size(host) / self.rates.size.max(1e-9);
+            self.hosts[host].limit += self.few() * self.size(host) / self.rates.size.max(1e-9);
         }
         no
     }
 
-    /// The part of our calls that another node had before, in which hosts it used are emptier than ours.
-    /// Danger: when a node drains or dies, its clients come to one that keeps to its own zone and its limits.
-    /// Of many nodes each has few calls, and a guest or two more than usual say nothing.
+    /// The part of our calls that another node had before. Danger: when a node drains or dies, its clients come
+    /// to one that keeps to its own zone and its limits. Of many nodes each has too few calls to tell.
     fn taken_over(&self) -> f64 {
-        (1.0 - self.many()) * self.rates.taken_over(self.calls.len()) / self.calls.len().max(1) as f64
+        self.few() * self.rates.taken_over(self.calls.len()) / self.calls.len().max(1) as f64
     }
 
     pub fn connection_found(&mut self, now: Time, call: Call, host: HostId) {
@@ -1073,10 +1077,8 @@
     /// Danger: a process that begins with nothing takes hosts for empty and known to be well, sends cold ones
     /// a second budget, and holds the clients that the old one sends over for another node's.
     pub fn inherit(&mut self, legacy: &Legacy) {
-        for of in &legacy.hosts {
-            let Some(host) = self.host_no.get(&of.host) else { continue };
-            self.hosts[*host].inherit(of, self.now);
-        }
+        let known = legacy.hosts.iter().filter_map(|of| Some((*self.host_no.get(&of.host)?, of)));
+        known.for_each(|(host, of)| self.hosts[host].inherit(of, self.now));
         legacy.loads.iter().for_each(|(subject, load)| self.remembered.keep(Some(*subject), Some(*load)));
         self.rates.inherit(&mut self.loads, legacy);
         // Past the time in which means are those of all seconds so far.
@@ -1085,9 +1087,8 @@
     }
 
     /// How many connections the process before has at a host now; without a host, at all of them.
-    pub fn elder_at(&mut self, host: Option<HostId>, open: f64) {
-        let at = self.hosts.iter_mut().filter(|to| host.is_none_or(|host| host == to.id));
-        at.for_each(|to| to.elder = open);
+    pub fn elder_at(&mut self, host: Option<HostId>, n: f64) {
+        self.hosts.iter_mut().filter(|to| host.is_none_or(|host| host == to.id)).for_each(|to| to.elder = n);
     }
 
     // The host list.
