--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 use tracing::{debug, info, warn};
 
+use crate::clients::ACCEPT_AGAIN;
 use crate::conn::{self, Conn, Got};
 use crate::http::{Incoming, Method, Refusal, Request};
 use crate::service::{ConnId, Due, Phase, Role, Service};
@@ -108,9 +109,10 @@
                 Err(Errno::INTR | Errno::CONNABORTED) => {}
                 Err(Errno::AGAIN) => return,
                 Err(fault) => {
-                    // Its descriptors are kept back: the next event tries again.
+                    // Danger: while accepting fails the socket stays ready, and the loop would spin.
                     warn!(%fault, "cannot accept at the operators' door");
-                    return;
+                    self.open_door(false);
+                    return self.deadlines.set(self.now + ACCEPT_AGAIN, Due::Accept);
                 }
             }
         }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -30,7 +30,7 @@
 const DISCARD: usize = 64 << 10;
 
 /// While accepting fails, the system is asked again after this: soon, but without spinning.
-const ACCEPT_AGAIN: Span = Span::ms(20);
+pub const ACCEPT_AGAIN: Span = Span::ms(20);
 
 /// Connections accepted in one turn; the open ones must not wait for a whole burst.
 const ACCEPTS: usize = 64;
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -69,6 +69,8 @@
     /// And that another serves in its place.
     succeeded: bool,
     elder: Option<ConnId>,
+    /// This process has told the one before that it serves.
+    took_over: bool,
     /// The list's service had its time to answer before this process takes over.
     pub waited: bool,
     /// Descriptors that the process before holds.
@@ -93,8 +95,8 @@
     }
 
     /// The process before this one still takes the clients.
-    pub fn follows_unready(&self, phase: Phase) -> bool {
-        self.elder.is_some() && phase == Phase::Starting
+    pub fn waits(&self) -> bool {
+        self.elder.is_some() && !self.took_over
     }
 }
 
@@ -530,6 +532,7 @@
             return;
         }
         self.await_heir();
+        self.handover.took_over = true;
         self.listen_for(true);
         if let Some(id) = self.handover.elder {
             self.say_on(id, &format!("{SERVING}\n"));
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -565,7 +565,10 @@
                     self.drop_conn(id);
                 }
             }
-            Due::Accept => self.listen_for(self.accepts()),
+            Due::Accept => {
+                self.listen_for(self.accepts());
+                self.open_door(true);
+            }
             Due::TakeOver => {
                 self.handover.waited = true;
                 self.ready_now();
@@ -606,13 +609,16 @@
 
     /// Whether new connections are this process's to take.
     pub fn accepts(&self) -> bool {
-        !self.handover.follows_unready(self.phase) && !self.handover.is_replaced()
+        !self.handover.waits() && !self.handover.is_replaced()
     }
 
     /// Danger: what has come up in a listening socket's queue is reset with its close.
     fn stop_accepting(&mut self) {
         if matches!(self.phase, Phase::Leaving { .. }) && !self.handover.is_replaced() {
-            self.accept();
+            // One that never served leaves the queue to the process before.
+            if self.accepts() {
+                self.accept();
+            }
             self.listener = None;
         }
     }
@@ -796,6 +802,13 @@
         Some(held)
     }
 
+    pub fn open_door(&mut self, open: bool) {
+        let flags = if open { Flags::IN } else { Flags::empty() };
+        if let Some(listener) = &self.door.listener {
+            let _ = self.reactor.change(listener, DOOR, flags);
+        }
+    }
+
     pub fn watch_heirs(&mut self, door: &std::os::unix::net::UnixListener) -> Result<(), Errno> {
         self.reactor.add(door, HEIRS, Flags::IN)
     }
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -161,8 +161,9 @@
 
 struct World {
     child: Child,
-    /// Processes of the same node before this one.
+    /// Processes of the same node before this one, and where operators called them.
     before: Vec<Child>,
+    doors: Vec<SocketAddr>,
     folder: std::path::PathBuf,
     admin: SocketAddr,
     reserved: Vec<OwnedFd>,
@@ -269,6 +270,7 @@
         World {
             child,
             before: vec![],
+            doors: vec![],
             folder,
             admin,
             reserved: vec![fd, other_fd],
@@ -436,7 +438,8 @@
                 let discovery = self.told["discovery"].as_str().unwrap().to_owned();
                 let next = start(&self.config, &discovery, &self.folder, admin);
                 self.before.push(std::mem::replace(&mut self.child, next));
-                (self.admin, self.asked) = (admin, Instant::now());
+                self.doors.push(std::mem::replace(&mut self.admin, admin));
+                self.asked = Instant::now();
                 self.reserved.push(fd);
             }
             ["old", "term"] => {
@@ -454,6 +457,7 @@
                 self.child.kill().unwrap();
                 self.child.wait().unwrap();
                 self.child = self.before.pop().unwrap();
+                self.admin = self.doors.pop().unwrap();
             }
             // The process before the one before: told to end it leaves at once, as nobody came to it again.
             ["first", "exits"] => {
@@ -683,6 +687,7 @@
 #[test_case("upgrade"; "the next process takes over and no connection meets a closed door")]
 #[test_case("upgrade_alone"; "without a folder for it the next process listens beside the old one")]
 #[test_case("upgrade_undone"; "a next process that dies leaves the clients to the old one")]
+#[test_case("upgrade_ended"; "a next process that is told to end early takes no clients along")]
 #[test_case("upgrade_drained"; "a drain holds across a replacement")]
 #[test_case("discovery"; "a node goes on without the list's service")]
 fn scenario(name: &str) {
