--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -688,6 +688,7 @@
 #[test_case("upgrade_alone"; "without a folder for it the next process listens beside the old one")]
 #[test_case("upgrade_undone"; "a next process that dies leaves the clients to the old one")]
 #[test_case("upgrade_ended"; "a next process that is told to end early takes no clients along")]
+#[test_case("upgrade_crowd"; "a crowd and slow callers keep nobody from taking over")]
 #[test_case("upgrade_drained"; "a drain holds across a replacement")]
 #[test_case("discovery"; "a node goes on without the list's service")]
 fn scenario(name: &str) {
