--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -13,8 +13,8 @@
 use std::time::Duration;
 
 use glendeck::domain::{
-    Call, CallId, Cell, Condition, Ending, Extent, GroupId, HostId, HostLegacy, LegNo, Legacy, Listed, Span,
-    SubjectId, TenantId, Time, TrafficId, Zone,
+    Call, CallId, Cell, Condition, Ending, Extent, GroupId, HostId, HostLegacy, Kind, LegNo, Legacy, Listed,
+    Span, SubjectId, TenantId, Time, TrafficId, Weight, Zone,
 };
 use rustix::io::Errno;
 use rustix::net::{
@@ -211,7 +211,7 @@
         .map(|(line, (_, address))| {
             json!({"host": line.host.0, "address": address.to_string(), "zone": line.zone.0, "cell": line.cell.0,
                    "condition": if line.condition == Condition::Ready { "ready" } else { "draining" },
-                   "share": line.share, "up": line.up_since.map(|up| up.0)})
+                   "share": line.weight.0, "kind": line.kind.map(|kind| kind.0), "up": line.up_since.map(|up| up.0)})
         })
         .collect();
     let node = &standing.node;
@@ -247,7 +247,9 @@
             zone: Zone(zone.min(zones.len() as u16)),
             cell: Cell(u16::try_from(whole(of, "cell")?).ok()?),
             condition: condition(of.get("condition")?.as_str()?)?,
-            share: number(of, "share").filter(|share| *share >= 0.0)?,
+            weight: Weight(number(of, "share").filter(|weight| *weight >= 0.0)?),
+            // A process before this one told none.
+            kind: of.get("kind").and_then(Value::as_u64).map(Kind),
             up_since: match of.get("up")? {
                 Value::Null => None,
                 up => Some(Time(up.as_u64()?)),
@@ -679,7 +681,8 @@
             zone: Zone(1),
             cell: Cell(2),
             condition: Condition::Draining,
-            share: 1.5,
+            weight: Weight(1.5),
+            kind: Some(Kind(7)),
             up_since: Some(Time(9)),
         };
         let of = HostLegacy {
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use glendeck::domain::{Cell, Condition, Extent, HostId, Listed, Span, Time, Zone};
+use glendeck::domain::{Cell, Condition, Extent, HostId, Kind, Listed, Span, Time, Weight, Zone};
 use serde_json::Value;
 use tracing::{debug, warn};
 
@@ -96,7 +96,8 @@
         zone: Zone(zone as u16),
         cell: Cell(entry.get("group").and_then(Value::as_u64).unwrap_or(0) as u16),
         condition,
-        share: number("weight", 1.0).ok_or(ListFault::Bad("weight"))?,
+        weight: Weight(number("weight", 1.0).ok_or(ListFault::Bad("weight"))?),
+        kind: text("type").map(|kind| Kind(crate::line::numbered(kind))),
         up_since: Some(Time((since * 1e6) as u64)).filter(|up| up.0 > 0),
     };
     Ok((listed, address))
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -234,16 +234,17 @@
             };
             let up = f64::from_be_bytes(std::array::from_fn(|i| line[17 + i]));
             let up = time(up).ok_or_else(|| self.value(10, "start time in the host list", up))?;
-            let share = f64::from(f32::from_be_bytes([line[0], line[1], line[2], line[3]]));
-            if !share.is_finite() || share < 0.0 {
-                return Err(self.value(10, "share in the host list", share));
+            let weight = f64::from(f32::from_be_bytes([line[0], line[1], line[2], line[3]]));
+            if !weight.is_finite() || weight < 0.0 {
+                return Err(self.value(10, "share in the host list", weight));
             }
             lines.push(Listed {
                 host: host(std::array::from_fn(|i| line[8 + i])),
                 zone: Zone(word(6)),
                 cell: Cell(word(4)),
                 condition,
-                share,
+                weight: Weight(weight),
+                kind: Some(Kind(u64::from(word(15)))),
                 up_since: Some(up).filter(|up| up.0 != 0),
             });
         }
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -5,7 +5,7 @@
 use std::fmt::Write;
 use std::str::FromStr;
 
-use glendeck::domain::{Effect, Scope, Span, Terms, Traffic, Warming, Zone};
+use glendeck::domain::{Effect, Scope, Span, Terms, Traffic, Warming, Weights, Zone};
 use rustc_hash::FxHashMap;
 use serde_json::Value;
 
@@ -148,6 +148,12 @@
         max_legs: pairs.parse("caps.maxLegs", "a whole number")?,
         may_probe: pairs.flag("caps.mayProbe")?,
         may_recall: pairs.flag("caps.mayCancel")?,
+        // Without the key, as before there was one: sizes.
+        weights: match pairs.0.get("weightKind").map(|kind| &**kind) {
+            None | Some("none" | "nominal" | "rough") => Weights::Sizes,
+            Some("live") => Weights::Live,
+            Some(other) => return Err(bad("weightKind", other, "none, nominal, rough or live")),
+        },
         message_times: pairs.flag_or("extra.tellsDelay", false)?,
         come_back,
         ask_within,
--- a/src/book.rs
+++ b/src/book.rs
@@ -296,7 +296,12 @@
     pub zone: Zone,
     pub cell: Cell,
     pub condition: Condition,
-    pub share: f64,
+    pub nominal: Size,
+    pub kind: Option<Kind>,
+    /// Connections a core that all nodes hold here by its weight, as far as that is told.
+    pub told_held: Option<f64>,
+    /// Legs sent here since its line came that came last, and between that and the one before.
+    pub fresh: [f64; 2],
     pub up_since: Option<Time>,
     /// The calls with a leg here, in no order that means anything.
     pub legs: Vec<usize>,
@@ -456,7 +461,10 @@
             zone: line.zone,
             cell: line.cell,
             condition: line.condition,
-            share: line.share,
+            nominal: Size(line.weight.0),
+            kind: line.kind,
+            told_held: None,
+            fresh: [0.0; 2],
             up_since: line.up_since,
             legs: Vec::new(),
             setting_up: 0,
@@ -492,9 +500,48 @@
     }
 }
 
+/// Turns listed weights into sizes and into what hosts hold: the one place that does.
+#[derive(Default)]
+pub(crate) struct Sizes {
+    /// The highest weight that a host of each kind has shown: that of one that holds nothing.
+    of_kind: FxHashMap<Kind, f64>,
+    /// Connections that the whole fleet holds for each that its hosts hold a core; 0 before it is known.
+    pub cores: f64,
+}
+
+impl Sizes {
+    /// Danger: where weights fall with what hosts hold, a size read from them makes loaded hosts small and
+    /// cold ones large: budgets, homes and all sums wander with each list, alike at all nodes.
+    pub fn read(&mut self, to: &mut Host, weight: Weight, weights: Weights) {
+        if weights == Weights::Sizes {
+            (to.nominal, to.told_held) = (Size(weight.0), None);
+            return;
+        }
+        let shown = to.kind.map_or(to.nominal.0, |kind| *self.of_kind.entry(kind).or_default());
+        to.nominal = Size(shown.max(weight.0));
+        to.kind.map(|kind| self.of_kind.insert(kind, to.nominal.0));
+        to.told_held = Some(to.nominal.0 / weight.0.max(1e-6) - 1.0);
+        to.fresh = [0.0, to.fresh[0]];
+    }
+
+    /// What a core of the fleet is to this node: its own connections times the nodes, for what hosts tell.
+    pub fn weigh(&mut self, hosts: &[Host], nodes: f64, stand: f64, follow: f64) {
+        let told = hosts.iter().filter(|to| to.condition != Condition::Gone);
+        let told: f64 = told.filter_map(|to| to.told_held).sum();
+        if told > 0.0 {
+            self.cores += (stand * nodes / told - self.cores) * follow;
+        }
+    }
+
+    /// Connections of the other nodes on a host, as far as the list tells them.
+    pub fn others(&self, to: &Host) -> Option<f64> {
+        to.told_held.map(|held| (held * self.cores - to.stand()).max(0.0))
+    }
+}
+
 /// What other nodes are held to have on hosts for each unit of size, where they have anything.
 pub(crate) fn held_per_share(hosts: &[Host]) -> f64 {
-    let shares = hosts.iter().filter(|to| to.held > 0.0).map(|to| to.share).sum::<f64>();
+    let shares = hosts.iter().filter(|to| to.held > 0.0).map(|to| to.nominal.0).sum::<f64>();
     let held = hosts.iter().map(|to| to.held).sum::<f64>();
     if held > 0.0 { held / shares.max(1e-9) } else { 1.0 }
 }
@@ -509,20 +556,20 @@
         let gone = to.held * if ready { leave } else { 1.0 };
         to.held -= gone;
         loose += gone;
-        shares += if ready { to.share } else { 0.0 };
-        settled += if ready && *warmth >= 1.0 { to.share } else { 0.0 };
+        shares += if ready { to.nominal.0 } else { 0.0 };
+        settled += if ready && *warmth >= 1.0 { to.nominal.0 } else { 0.0 };
     }
     let ready = |(to, _): &(&mut Host, &(f64, f64))| to.condition == Condition::Ready;
     for (to, (warmth, fill)) in hosts.iter_mut().zip(takes).filter(ready) {
         if *warmth < 1.0 {
-            let fill = fill.min(to.share * warmth - to.held).clamp(0.0, loose);
+            let fill = fill.min(to.nominal.0 * warmth - to.held).clamp(0.0, loose);
             to.held += fill;
             loose -= fill;
         }
     }
     for (to, (warmth, _)) in hosts.iter_mut().zip(takes).filter(ready) {
         if settled <= 0.0 || *warmth >= 1.0 {
-            to.held += loose * to.share / if settled > 0.0 { settled } else { shares };
+            to.held += loose * to.nominal.0 / if settled > 0.0 { settled } else { shares };
         }
     }
 }
--- a/src/domain.rs
+++ b/src/domain.rs
@@ -77,6 +77,8 @@
     Zone(u16);
     /// A few hosts that share which references they have seen.
     Cell(u16);
+    /// Index of a kind of machine.
+    Kind(u64);
     /// Index of a traffic type.
     TrafficId(u8);
     /// Index of a customer with a share of the fleet.
@@ -147,12 +149,31 @@
     pub zone: Zone,
     pub cell: Cell,
     pub condition: Condition,
-    /// A size to compare with other hosts' sizes.
-    pub share: f64,
+    pub weight: Weight,
+    /// Hosts of one kind are of one nominal size; `None` where the list names none.
+    pub kind: Option<Kind>,
     /// When it last started; `None` is long ago.
     pub up_since: Option<Time>,
 }
 
+/// What the list gives to compare hosts by; `Weights` says what it stands for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+pub struct Weight(pub f64);
+
+/// How much a host can do when warm and empty, beside other hosts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+pub struct Size(pub f64);
+
+/// What the list's weights stand for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Weights {
+    /// Sizes, or nothing to tell hosts apart by.
+    #[default]
+    Sizes,
+    /// Sizes, each divided by one and the connections that the host holds a core; late.
+    Live,
+}
+
 /// Whether a list names all hosts or only those that changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Extent {
@@ -217,6 +238,7 @@
     pub max_legs: u16,
     pub may_probe: bool,
     pub may_recall: bool,
+    pub weights: Weights,
     /// Hosts tell what a message takes while it takes long.
     pub message_times: bool,
     /// The longest wait that clients follow after a reject, where they are told one.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -45,6 +45,7 @@
     likeness: f64,
     homes: Homes,
     mean_size: f64,
+    sizes: Sizes,
     waiting: Waiting,
     loads: Loads,
     remembered: Remembered,
@@ -107,6 +108,7 @@
             likeness: 0.0,
             homes: Homes::default(),
             mean_size: 1.0,
+            sizes: Sizes::default(),
             waiting: Waiting::default(),
             loads: Loads { of_type: vec![0.0; terms.traffic.len()], ..Loads::default() },
             remembered: Remembered::default(),
@@ -208,6 +210,7 @@
         (call.sent, call.set_up, call.ahead) = (self.now, false, self.hosts[host].setting_up);
         let id = call.call.id;
         self.hosts[host].setting_up += 1;
+        self.hosts[host].fresh[0] += 1.0;
         self.put(no, host);
         port.send_leg(id, self.hosts[host].id, within);
         Step::Pass
@@ -371,8 +374,14 @@
 
     /// The design's score: own connections plus the smoothed load, in connections of the mean load.
     fn score(&self, host: usize) -> f64 {
-        let load = if self.loads.mean > 0.0 { self.hosts[host].smoothed / self.loads.mean } else { 0.0 };
-        self.hosts[host].stand() + load
+        let to = &self.hosts[host];
+        let load = if self.loads.mean > 0.0 { to.smoothed / self.loads.mean } else { 0.0 };
+        let ours = to.stand() + load;
+        let Some(others) = self.sizes.others(to) else { return ours };
+        // Danger: all nodes see the same late word and would fill the same gap, each the whole of it. Each
+        // takes the mean of what all nodes hold there, and of its own legs since then that all send alike.
+        let nodes = f64::from(self.terms.nodes.max(1));
+        (ours + 2.0 * others) / nodes + self.unseen() * (to.fresh[0] + to.fresh[1])
     }
 
     /// The score by the host's size, stretched while the host copes badly. Hosts of another zone carry a
@@ -396,26 +405,35 @@
     /// What the other nodes are held to have on a host for its size, each as much as this node has in all.
     fn others(&self, host: usize) -> f64 {
         let nodes = f64::from(self.terms.nodes.max(1)) - 1.0;
-        self.many() * nodes * self.rates.held * self.hosts[host].held / self.size(host)
+        let told = self.hosts[host].told_held.is_some();
+        if told {
+            0.0
+        } else {
+            self.many() * nodes * self.rates.held * self.hosts[host].held / self.size(host)
+        }
     }
 
     fn size(&self, host: usize) -> f64 {
-        self.hosts[host].share.max(1e-6) * self.warmth(host)
+        self.hosts[host].nominal.0.max(1e-6) * self.warmth(host)
     }
 
     /// What hosts of another zone are held to carry unseen, by their size. Danger: a node beside few hosts
     /// would crowd these while others idle. Each zone is held to carry as much as ours, on its own hosts.
     fn local_burden(&self) -> f64 {
         let (mut score, mut near, mut away, mut zones) = (0.0, 0.0, 0.0, 0);
+        let told = self.terms.weights == Weights::Live;
         for host in (0..self.hosts.len()).filter(|host| self.is_trusted(*host)) {
             let (zone, size) = (self.hosts[host].zone, self.size(host));
             zones = zones.max(zone.0);
-            if zone == self.terms.zone {
+            if zone == self.terms.zone || told {
                 (score, near) = (score + self.score(host), near + size);
             } else {
                 away += size;
             }
         }
+        if told {
+            return score / near.max(1e-9);
+        }
         let score = score * (1.0 - 2.0 * self.taken_over()).max(0.0);
         if near > 0.0 && away > 0.0 { score * f64::from(zones.max(self.terms.zone.0)) / away } else { 0.0 }
     }
@@ -473,7 +491,7 @@
             keys.extend(self.hosts.iter().enumerate().map(|(host, to)| {
                 let near = if to.zone == self.terms.zone { 1.0 } else { foreign };
                 // Danger: a cold host drawn by what it can do now is nobody's home while it warms up.
-                let weight = near * to.share * (many + (1.0 - many) * self.warmth(host));
+                let weight = near * to.nominal.0 * (many + (1.0 - many) * self.warmth(host));
                 if to.condition != Condition::Ready || to.aside.is_some() || weight <= 0.0 {
                     return f64::INFINITY;
                 }
@@ -815,20 +833,22 @@
         self.rates.arrivals = 0;
         self.rates.arrival += (seen - self.rates.arrival) * (1.0 / self.seconds as f64).max(0.06);
         let ready = self.hosts.iter().filter(|to| to.condition == Condition::Ready);
-        let shares: f64 = ready.map(|to| to.share).sum();
+        let shares: f64 = ready.map(|to| to.nominal.0).sum();
         // Danger: calls that wait, or hosts that are lost, would raise what a host seems to carry, and with
         // it what cold ones are sent: connections that stand count, and what is usual follows them slowly.
         let stand = self.hosts.iter().map(|to| to.stand() - f64::from(to.setting_up)).sum::<f64>();
         let ready = (0..self.hosts.len()).filter(|host| self.hosts[*host].condition == Condition::Ready);
         let size = ready.map(|host| self.size(host)).sum();
-        self.rates.weigh(stand, shares, size, 1.0 / self.seconds as f64);
+        let first = 1.0 / self.seconds as f64;
+        self.rates.weigh(stand, shares, size, first);
+        self.sizes.weigh(&self.hosts, f64::from(self.terms.nodes), stand, first.max(0.06));
         for host in 0..self.hosts.len() {
             let warmth = self.warmth(host);
             if warmth < 1.0 {
                 // Twice what a host carries came to half of the limit on days drawn to break the rule. Many
                 // nodes use up theirs in full, and take it once.
                 let part =
-                    self.hosts[host].share / shares.max(1e-6) * self.rates.arrival * (2.0 - self.many());
+                    self.hosts[host].nominal.0 / shares.max(1e-6) * self.rates.arrival * (2.0 - self.many());
                 let fill = self.many() * self.rates.held * self.warming_fill(host);
                 let rate = fill.max(self.terms.warming.multiple * warmth * part);
                 let to = &mut self.hosts[host];
@@ -843,7 +863,7 @@
     /// a host once in its warm-up; four times that broke the rule once in 24 days, twice that on none.
     fn warming_fill(&self, host: usize) -> f64 {
         let warming = &self.terms.warming;
-        3.0 * warming.multiple * self.hosts[host].share / warming.after.seconds().max(1e-9)
+        3.0 * warming.multiple * self.hosts[host].nominal.0 / warming.after.seconds().max(1e-9)
     }
 
     /// Danger: a host that started of late looks like any other to a node that holds less than one connection
@@ -1114,8 +1134,9 @@
                         (to.up_since, to.budget, to.budget_at) = (line.up_since, first_budget, now);
                         to.held = 0.0;
                     }
-                    (to.condition, to.share, to.zone, to.cell) =
-                        (line.condition, line.share, line.zone, line.cell);
+                    (to.condition, to.zone, to.cell) = (line.condition, line.zone, line.cell);
+                    to.kind = line.kind;
+                    self.sizes.read(to, line.weight, self.terms.weights);
                 }
                 None => self.add_host(line),
             }
@@ -1153,9 +1174,10 @@
         self.sorted.insert(at, self.hosts.len());
         let budget = self.first_budget(line.host);
         // One that is not cold is held to have as much for its size as the others.
-        let part = line.share * held_per_share(&self.hosts);
         self.hosts.push(Host { budget, ..Host::new(line, mean, self.now) });
         let host = self.hosts.len() - 1;
+        self.sizes.read(&mut self.hosts[host], line.weight, self.terms.weights);
+        let part = self.hosts[host].nominal.0 * held_per_share(&self.hosts[..host]);
         if line.condition == Condition::Ready && self.warmth(host) >= 1.0 {
             self.hosts[host].held = part;
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -125,6 +125,7 @@
         max_legs: number("legs", 4.0) as u16,
         may_probe: true,
         may_recall: true,
+        weights: if given.contains_key("live") { Weights::Live } else { Weights::Sizes },
         message_times: !given.contains_key("unheard"),
         come_back: given.get("come-back").map(|s| seconds(s)),
         ask_within: given.get("ask-within").map(|s| seconds(s)),
@@ -233,7 +234,8 @@
             zone: Zone(number("zone", 0.0) as u16),
             cell: Cell(number("cell", 0.0) as u16),
             condition,
-            share: number("share", 1.0),
+            weight: Weight(number("share", 1.0)),
+            kind: given.get("kind").map(|n| Kind(n.parse().unwrap())),
             up_since: given.get("up").map(|s| Time(0) + seconds(s)),
         }
     }
@@ -369,6 +371,7 @@
 #[test_case("broken_last"; "a host whose last connection broke is taken up again")]
 #[test_case("worth"; "waiting calls are placed by revenue for their load")]
 #[test_case("heir"; "the next process of a node goes on where the one before stands")]
+#[test_case("live"; "weights that fall with load are no sizes")]
 #[test_case("leaving"; "a client that leaves is owed nothing")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
