--- a/src/book.rs
+++ b/src/book.rs
@@ -256,6 +256,12 @@
     }
 }
 
+/// Legs that are setting up at all hosts, and how many may at a time.
+pub(crate) struct Setups {
+    pub out: u32,
+    pub window: f64,
+}
+
 /// Calls that wait for a host, and those of them whose turn it is.
 #[derive(Default)]
 pub(crate) struct Waiting {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,6 +21,9 @@
 /// What a host pays once for a group, in connections. What it is nobody tells: tried from 1 to 9.
 const GROUP: f64 = 5.0;
 
+/// As many setups may be out at a time when nothing has shown that more do well.
+const NARROW: f64 = 2.0;
+
 struct Stage {
     out: fn(&mut Node, usize, &mut dyn Port) -> Step,
     back: fn(&mut Node, usize, Ended, &mut dyn Port) -> Back,
@@ -46,6 +49,7 @@
     homes: Homes,
     mean_size: f64,
     sizes: Sizes,
+    setups: Setups,
     waiting: Waiting,
     loads: Loads,
     remembered: Remembered,
@@ -109,6 +113,7 @@
             homes: Homes::default(),
             mean_size: 1.0,
             sizes: Sizes::default(),
+            setups: Setups { out: 0, window: NARROW },
             waiting: Waiting::default(),
             loads: Loads { of_type: vec![0.0; terms.traffic.len()], ..Loads::default() },
             remembered: Remembered::default(),
@@ -149,6 +154,13 @@
         if held.legs >= self.terms.max_legs || self.left(no) == Span::ZERO || !self.may_repeat(no) {
             return Step::End;
         }
+        let target = self.terms.traffic[usize::from(held.call.traffic.0)].setup_target;
+        if self.left(no) < Span::from_seconds(self.rates.setup).min(target) {
+            return Step::End;
+        }
+        if f64::from(self.setups.out) >= self.setups.window {
+            return Step::Keep;
+        }
         // Danger: when most legs fail, sending them again at once is the load that keeps hosts down. Not over
         // half may fail, but for a call's legs or those of the new clients in the 5 s that counts last.
         let spare = f64::from(self.terms.max_legs).max(self.rates.arrival * 5.0);
@@ -210,6 +222,7 @@
         (call.sent, call.set_up, call.ahead) = (self.now, false, self.hosts[host].setting_up);
         let id = call.call.id;
         self.hosts[host].setting_up += 1;
+        self.setups.out += 1;
         self.hosts[host].fresh[0] += 1.0;
         self.put(no, host);
         port.send_leg(id, self.hosts[host].id, within);
@@ -306,7 +319,14 @@
     fn leg_time(&self, no: usize) -> Span {
         let (call, left) = (&self.calls[no], self.left(no));
         let target = self.terms.traffic[usize::from(call.call.traffic.0)].setup_target;
-        if call.legs + 1 >= self.terms.max_legs { left } else { left.times(0.5).max(target).min(left) }
+        // Danger: where all setups take long, what is cut off is worked on all the same, and the next is behind
+        // it. A leg may take three times what setups take of late.
+        let of_late = Span::from_seconds(3.0 * self.rates.setup);
+        if call.legs + 1 >= self.terms.max_legs {
+            left
+        } else {
+            left.times(0.5).max(target).max(of_late).min(left)
+        }
     }
 
     fn answer(&mut self, no: usize, port: &mut dyn Port) {
@@ -358,7 +378,13 @@
         while let Some(no) = self.waiting.turn.pop() {
             self.calls[no].held = false;
             if (closed || tries >= most) && self.left(no) > Span::ZERO {
-                self.hold(no, port);
+                let full = f64::from(self.setups.out) >= self.setups.window;
+                let turn = self.waiting.held.len() as f64 * self.rates.setup / self.setups.window;
+                if full && self.left(no).seconds() < turn {
+                    self.answer(no, port);
+                } else {
+                    self.hold(no, port);
+                }
                 continue;
             }
             let bound = self.is_bound(no);
@@ -559,6 +585,7 @@
         let Some((host, place)) = self.calls[no].out.take() else { return Back::Done };
         if !ended.was_set_up {
             self.hosts[host].setting_up -= 1;
+            self.setups.out -= 1;
         }
         self.hosts[host].settle(self.now, self.loads.mean);
         self.hosts[host].legs.swap_remove(place);
@@ -580,6 +607,9 @@
     fn learn(&mut self, no: usize, ended: Ended, _: &mut dyn Port) -> Back {
         let host = ended.host;
         let young = self.now.since(self.calls[no].sent) < Span::ms(5000);
+        if !ended.was_set_up && matches!(ended.ending, Ending::Error | Ending::TimedOut) {
+            self.set_up_in(no, None);
+        }
         if young && !matches!(ended.ending, Ending::Completed | Ending::Recalled | Ending::NeverSent) {
             self.rates.failed = (self.rates.failed + 1.0).min(self.rates.tried);
         }
@@ -612,6 +642,20 @@
         Back::Pass
     }
 
+    /// Danger: where setups share a store, clients that come back together fill its queue, what waits there too
+    /// long is given up but worked on, and from then on nothing comes back in time. As many setups are out as
+    /// come back within two thirds of their target; more are tried while they take less than a third.
+    fn set_up_in(&mut self, no: usize, took: Option<Span>) {
+        let target = self.terms.traffic[usize::from(self.calls[no].call.traffic.0)].setup_target.seconds();
+        let part = took.map_or(f64::INFINITY, |took| took.seconds() / target.max(1e-3));
+        let setups = &mut self.setups;
+        if part > 0.67 {
+            setups.window = (0.8 * setups.window).max(1.0);
+        } else if part < 0.33 && f64::from(setups.out) >= 0.5 * setups.window {
+            setups.window += 1.0;
+        }
+    }
+
     /// Danger: a host that fails fast has few connections and would draw every call.
     fn judge(&mut self, host: usize, failed: bool) {
         let to = &mut self.hosts[host];
@@ -705,6 +749,7 @@
         }
         self.likeness += (self.groups.alike() - self.likeness) * (1.0 / self.seconds as f64).max(0.06);
         self.rates.fade(0.8);
+        self.setups.window = (0.8 * self.setups.window).max(NARROW.min(self.setups.window));
         self.fill_budgets(elapsed);
         self.reckon(elapsed);
         if self.seconds.is_multiple_of(30) {
@@ -981,12 +1026,14 @@
             return;
         }
         self.hosts[host].setting_up -= 1;
+        self.set_up_in(no, Some(took));
+        self.setups.out -= 1;
         self.hosts[host].full_rest = Span::ZERO;
         self.judge(host, false);
         // Danger: a host that goes under answers probes beside its work; what is open there earns nothing.
         // A setup waits behind that work: what it took too long, a message takes too.
+        let usual = self.rates.usual_setup(took, self.calls[no].ahead);
         if !self.terms.message_times {
-            let usual = self.rates.usual_setup(took, self.calls[no].ahead);
             let slower = self.hosts[host].set_up_slower(took.seconds() - usual);
             self.crowded_host(host, slower, port);
         }
