--- a/src/rules.rs
+++ b/src/rules.rs
@@ -252,15 +252,17 @@
     }
 
     /// Danger: of hundreds of nodes each would have to save up for a whole call, and a cold host stays empty.
-    /// Where a node's fair part is less than one connection, that part is enough to send one. But in a rush,
-    /// when more than half the multiple of what usually comes wants a host, as far as others are open, all
-    /// together would push it over: then each needs a whole call saved up.
+    /// Where a node's fair part is less than one connection, that part is enough to send one. But in a rush
+    /// all together would push it over: then each needs a whole call saved up.
     fn may_warm(&self, host: usize) -> bool {
-        let usual = 0.5 * self.terms.warming.multiple * self.open * self.rates.arrival * 5.0;
-        let calm =
-            self.rates.tried.max(1.0) + (self.waiting.held.len() + self.waiting.turn.len()) as f64 <= usual;
         let fair = (self.level * self.size(host)).clamp(1.0 - self.unseen(), 1.0);
-        self.hosts[host].budget >= if calm { fair } else { 1.0 }
+        self.hosts[host].budget >= if self.is_calm() { fair } else { 1.0 }
+    }
+
+    /// No more than half the multiple of what usually comes wants a host, as far as others are open.
+    fn is_calm(&self) -> bool {
+        let usual = 0.5 * self.terms.warming.multiple * self.open * self.rates.arrival * 5.0;
+        self.rates.tried.max(1.0) + (self.waiting.held.len() + self.waiting.turn.len()) as f64 <= usual
     }
 
     /// Danger: what a node saves up lapses, or a rush would spend it all at once; in a calm hardly a call
@@ -904,13 +906,13 @@
 
     /// How much a second all nodes may send a cold host, in what a host of its size usually carries for one
     /// unit. Danger: with a call in ten seconds, most nodes let lapse what they saved up by their arrivals,
-    /// and hosts that came back stay empty while the others go under. When nothing else is open all use theirs
-    /// in full: 32 nodes pushed one over with three times the multiple of what fills a host in its warm-up,
-    /// cold or not. Twice that, by what it can do now, keeps to two fifths of the limit.
+    /// and hosts that came back stay empty while the others go under: three times the multiple of what fills
+    /// a host once in its warm-up. But in a rush all nodes use theirs in full, and 32 of them pushed a host
+    /// over; then it is twice that, by what the host can do now: at most 45% of the limit on 96 drawn days.
     fn warming_fill(&self, host: usize) -> f64 {
         let warming = &self.terms.warming;
-        2.0 * self.warmth(host) * warming.multiple * self.hosts[host].nominal.0
-            / warming.after.seconds().max(1e-9)
+        let times = if self.is_calm() { 3.0 } else { 2.0 * self.warmth(host) };
+        times * warming.multiple * self.hosts[host].nominal.0 / warming.after.seconds().max(1e-9)
     }
 
     /// Danger: a host that started of late looks like any other to a node that holds less than one connection
