--- a/src/rules.rs
+++ b/src/rules.rs
@@ -256,13 +256,14 @@
     /// all together would push it over: then each needs a whole call saved up.
     fn may_warm(&self, host: usize) -> bool {
         let fair = (self.level * self.size(host)).clamp(1.0 - self.unseen(), 1.0);
-        self.hosts[host].budget >= if self.is_calm() { fair } else { 1.0 }
+        self.hosts[host].budget >= if self.calm() >= 1.0 { fair } else { 1.0 }
     }
 
-    /// No more than half the multiple of what usually comes wants a host, as far as others are open.
-    fn is_calm(&self) -> bool {
+    /// Half the multiple of what usually comes over what wants a host now, as far as others are open.
+    fn calm(&self) -> f64 {
         let usual = 0.5 * self.terms.warming.multiple * self.open * self.rates.arrival * 5.0;
-        self.rates.tried.max(1.0) + (self.waiting.held.len() + self.waiting.turn.len()) as f64 <= usual
+        let wants = self.rates.tried.max(1.0) + (self.waiting.held.len() + self.waiting.turn.len()) as f64;
+        (usual / wants).min(1.0)
     }
 
     /// Danger: what a node saves up lapses, or a rush would spend it all at once; in a calm hardly a call
@@ -896,7 +897,9 @@
                 // nodes use up theirs in full, and take it once.
                 let part =
                     self.hosts[host].nominal.0 / shares.max(1e-6) * self.rates.arrival * (2.0 - self.many());
-                let fill = self.many() * self.rates.held * self.warming_fill(host);
+                // Danger: in a rush all nodes use theirs in full: 32 pushed a host over, each by one call.
+                let fill =
+                    self.calm().max(0.67 * warmth) * self.many() * self.rates.held * self.warming_fill(host);
                 let rate = fill.max(self.terms.warming.multiple * warmth * part);
                 let to = &mut self.hosts[host];
                 to.save_up(rate, self.terms.warming.window, self.now);
@@ -906,13 +909,11 @@
 
     /// How much a second all nodes may send a cold host, in what a host of its size usually carries for one
     /// unit. Danger: with a call in ten seconds, most nodes let lapse what they saved up by their arrivals,
-    /// and hosts that came back stay empty while the others go under: three times the multiple of what fills
-    /// a host once in its warm-up. But in a rush all nodes use theirs in full, and 32 of them pushed a host
-    /// over; then it is twice that, by what the host can do now: at most 45% of the limit on 96 drawn days.
+    /// and hosts that came back stay empty while the others go under. Three times the multiple of what fills
+    /// a host once in its warm-up; four times that broke the rule once in 24 days, twice that on none.
     fn warming_fill(&self, host: usize) -> f64 {
         let warming = &self.terms.warming;
-        let times = if self.is_calm() { 3.0 } else { 2.0 * self.warmth(host) };
-        times * warming.multiple * self.hosts[host].nominal.0 / warming.after.seconds().max(1e-9)
+        3.0 * warming.multiple * self.hosts[host].nominal.0 / warming.after.seconds().max(1e-9)
     }
 
     /// Danger: a host that started of late looks like any other to a node that holds less than one connection
