--- a/src/book.rs
+++ b/src/book.rs
@@ -62,6 +62,8 @@
     /// Pairs of connections of one group.
     pairs: i64,
     pub all: i64,
+    /// How alike they are as a rule.
+    pub likeness: f64,
 }
 
 impl Groups {
@@ -88,10 +90,11 @@
         self.all += i64::from(change);
     }
 
-    /// How likely two of the connections are of one group: the part of the traffic that a group has.
-    pub fn alike(&self) -> f64 {
+    /// A second has passed. Alike is how likely two connections are of one group, the part of the traffic that a
+    /// group has.
+    pub fn weigh(&mut self, follow: f64) {
         let n = self.all as f64;
-        2.0 * self.pairs as f64 / (n * (n - 1.0)).max(1.0)
+        self.likeness += (2.0 * self.pairs as f64 / (n * (n - 1.0)).max(1.0) - self.likeness) * follow;
     }
 }
 
@@ -177,7 +180,6 @@
 #[derive(Default)]
 pub(crate) struct Rates {
     pub tried: f64,
-    pub failed: f64,
     /// Open connections that broke of late.
     pub broke: f64,
     pub arrivals: u32,
@@ -206,10 +208,17 @@
         self.usual_size = usual + (size - usual) * 0.02;
     }
 
+    /// Danger: clients that return together would swell the rate, and the budgets with it. Those that say they
+    /// return are not counted; a rise to three times a second catches the rest.
+    pub fn count(&mut self, elapsed: f64, follow: f64) {
+        let seen = (f64::from(self.arrivals) / elapsed).min(3.0 * self.arrival + 1.0);
+        self.arrivals = 0;
+        self.arrival += (seen - self.arrival) * follow;
+    }
+
     /// A second has passed.
     pub fn fade(&mut self, left: f64) {
         self.tried *= left;
-        self.failed *= left;
         self.broke *= left;
     }
 
@@ -256,12 +265,32 @@
     }
 }
 
+/// What the ready hosts come to: the part of their size that is open, their mean size, and what this node
+/// holds in its zone for each unit of size.
+pub(crate) struct Fleet {
+    pub open: f64,
+    pub mean_size: f64,
+    pub level: f64,
+}
+
+impl Default for Fleet {
+    fn default() -> Fleet {
+        Fleet { open: 1.0, mean_size: 1.0, level: 0.0 }
+    }
+}
+
 /// Legs that are setting up at all hosts, and how many may at a time.
 pub(crate) struct Setups {
     pub out: u32,
     pub window: f64,
 }
 
+impl Setups {
+    pub fn are_full(&self) -> bool {
+        f64::from(self.out) >= self.window
+    }
+}
+
 /// Calls that wait for a host, and those of them whose turn it is.
 #[derive(Default)]
 pub(crate) struct Waiting {
@@ -287,6 +316,11 @@
         Asking { following: !asks, asked, refusals: 0, ask_at, fetch_at, doubt_wait: Span::ms(1000) }
     }
 
+    /// No question was ever put, and none is out.
+    pub fn is_new(&self) -> bool {
+        !self.asked && !self.following && self.refusals == 0
+    }
+
     pub fn answered(&mut self) {
         (self.asked, self.following, self.refusals) = (false, true, 0);
     }
--- a/src/domain.rs
+++ b/src/domain.rs
@@ -252,6 +252,21 @@
 }
 
 impl Terms {
+    /// The part of the traffic that other nodes place.
+    pub fn unseen(&self) -> f64 {
+        1.0 - 1.0 / f64::from(self.nodes.max(1))
+    }
+
+    /// Near 0 for a few nodes, near 1 for hundreds.
+    pub fn many(&self) -> f64 {
+        self.unseen().powi(8)
+    }
+
+    /// Near 1 for a few nodes, 0 from a dozen on.
+    pub fn few(&self) -> f64 {
+        (1.0 - 2.0 * self.many()).max(0.0)
+    }
+
     /// The shortest that any traffic type has for its messages, in seconds.
     pub fn message_target(&self) -> f64 {
         let targets = self.traffic.iter().filter_map(|traffic| traffic.message_target);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,4 +6,5 @@
 mod book;
 pub mod domain;
 pub mod port;
+mod renewal;
 pub mod rules;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,49 +36,35 @@
 ];
 
 pub struct Node {
-    terms: Terms,
-    rng: WyRand,
-    now: Time,
-    hosts: Vec<Host>,
-    sorted: Vec<usize>,
-    host_no: FxHashMap<HostId, usize>,
-    calls: Slab<InHand>,
-    call_no: FxHashMap<CallId, usize>,
-    groups: Groups,
-    likeness: f64,
-    homes: Homes,
-    mean_size: f64,
-    sizes: Sizes,
-    setups: Setups,
-    waiting: Waiting,
-    loads: Loads,
-    remembered: Remembered,
-    rates: Rates,
-    level: f64,
-    open: f64,
-    seconds: u64,
-    turn: usize,
-    ticked: Time,
-    doubts_itself: bool,
-    asking: Asking,
+    pub(crate) terms: Terms,
+    pub(crate) rng: WyRand,
+    pub(crate) now: Time,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) sorted: Vec<usize>,
+    pub(crate) host_no: FxHashMap<HostId, usize>,
+    pub(crate) calls: Slab<InHand>,
+    pub(crate) call_no: FxHashMap<CallId, usize>,
+    pub(crate) groups: Groups,
+    pub(crate) homes: Homes,
+    pub(crate) fleet: Fleet,
+    pub(crate) sizes: Sizes,
+    pub(crate) setups: Setups,
+    pub(crate) waiting: Waiting,
+    pub(crate) loads: Loads,
+    pub(crate) remembered: Remembered,
+    pub(crate) rates: Rates,
+    pub(crate) seconds: u64,
+    pub(crate) turn: usize,
+    pub(crate) ticked: Time,
+    pub(crate) doubts_itself: bool,
+    pub(crate) asking: Asking,
 }
 
-/// The part of the traffic that other nodes place.
-fn unseen(terms: &Terms) -> f64 {
-    1.0 - 1.0 / f64::from(terms.nodes.max(1))
-}
-
-/// Near 0 for a few nodes, near 1 for hundreds.
-fn many(terms: &Terms) -> f64 {
-    unseen(terms).powi(8)
-}
-
-/// Danger: nodes that start or lose their watch together ask together. The list's service falls behind, what
-/// waits too long there fails but is worked on, and asked again within seconds it never catches up: of 70
-/// nodes that came back 66 heard nothing for the rest of the day. Many nodes spread their questions over two
-/// fifths of the time in which each has to ask; a fifth and three fifths were within the noise.
+/// Danger: nodes that start or lose their watch together ask together, and the list's service never catches
+/// up: of 70 nodes that came back 66 heard nothing for the rest of the day. Many spread their questions over
+/// two fifths of the time in which each has to ask; a fifth and three fifths were within the noise.
 fn list_spread(terms: &Terms) -> Span {
-    terms.ask_within.map_or(Span::ZERO, |within| within.times(0.4 * many(terms)))
+    terms.ask_within.map_or(Span::ZERO, |within| within.times(0.4 * terms.many()))
 }
 
 impl Node {
@@ -109,17 +95,14 @@
             calls: Slab::new(),
             call_no: FxHashMap::default(),
             groups: Groups::default(),
-            likeness: 0.0,
             homes: Homes::default(),
-            mean_size: 1.0,
+            fleet: Fleet::default(),
             sizes: Sizes::default(),
             setups: Setups { out: 0, window: NARROW },
             waiting: Waiting::default(),
             loads: Loads { of_type: vec![0.0; terms.traffic.len()], ..Loads::default() },
             remembered: Remembered::default(),
             rates: Rates::default(),
-            level: 0.0,
-            open: 1.0,
             seconds: 0,
             turn: 0,
             ticked: now,
@@ -158,13 +141,7 @@
         if self.left(no) < Span::from_seconds(self.rates.setup).min(target) {
             return Step::End;
         }
-        if f64::from(self.setups.out) >= self.setups.window {
-            return Step::Keep;
-        }
-        // Danger: when most legs fail, sending them again at once is the load that keeps hosts down. Not over
-        // half may fail, but for a call's legs or those of the new clients in the 5 s that counts last.
-        let spare = f64::from(self.terms.max_legs).max(self.rates.arrival * 5.0);
-        if 2.0 * self.rates.failed - self.rates.tried > spare { Step::Keep } else { Step::Pass }
+        if self.setups.are_full() { Step::Keep } else { Step::Pass }
     }
 
     fn go_on(&mut self, no: usize, ended: Ended, port: &mut dyn Port) -> Back {
@@ -255,13 +232,13 @@
     /// Where a node's fair part is less than one connection, that part is enough to send one. But in a rush
     /// all together would push it over: then each needs a whole call saved up.
     fn may_warm(&self, host: usize) -> bool {
-        let fair = (self.level * self.size(host)).clamp(1.0 - self.unseen(), 1.0);
+        let fair = (self.fleet.level * self.size(host)).clamp(1.0 - self.terms.unseen(), 1.0);
         self.hosts[host].budget >= if self.calm() >= 1.0 { fair } else { 1.0 }
     }
 
     /// Half the multiple of what usually comes over what wants a host now, as far as others are open.
     fn calm(&self) -> f64 {
-        let usual = 0.5 * self.terms.warming.multiple * self.open * self.rates.arrival * 5.0;
+        let usual = 0.5 * self.terms.warming.multiple * self.fleet.open * self.rates.arrival * 5.0;
         let wants = self.rates.tried.max(1.0) + (self.waiting.held.len() + self.waiting.turn.len()) as f64;
         (usual / wants).min(1.0)
     }
@@ -274,7 +251,7 @@
         // A hundredth: fewer than a new client in 100 s says nothing of how many there are.
         let part = self.rates.held * self.warming_fill(host) / self.rates.arrival.max(0.01);
         let draw = draw(call.id.0, self.hosts[host].id.0 ^ u64::from(self.terms.me));
-        !call.returning && !call.mid_flow && draw < self.many().powi(2) * part
+        !call.returning && !call.mid_flow && draw < self.terms.many().powi(2) * part
     }
 
     fn effect(&self, no: usize) -> Effect {
@@ -318,12 +295,12 @@
         (self.calls[no].call.guard - self.terms.tick.times(2.0)).since(self.now)
     }
 
-    /// A leg may take the setup target; the later ones half of what is left, so that another leg has room.
+    /// A leg may take the setup target or half of what is left, so that another has room, or three times what
+    /// setups take of late.
     fn leg_time(&self, no: usize) -> Span {
         let (call, left) = (&self.calls[no], self.left(no));
         let target = self.terms.traffic[usize::from(call.call.traffic.0)].setup_target;
-        // Danger: where all setups take long, what is cut off is worked on all the same, and the next is behind
-        // it. A leg may take three times what setups take of late.
+        // Danger: where all setups take long, what is cut off is worked on all the same, before the next.
         let of_late = Span::from_seconds(3.0 * self.rates.setup);
         if call.legs + 1 >= self.terms.max_legs {
             left
@@ -377,16 +354,16 @@
         let rank = |no: &usize| (self.worth(*no), std::cmp::Reverse(self.calls[*no].call.id));
         turn.sort_unstable_by(|a, b| rank(a).0.total_cmp(&rank(b).0).then(rank(a).1.cmp(&rank(b).1)));
         self.waiting.held = std::mem::replace(&mut self.waiting.turn, turn);
-        let (mut closed, mut tries, most) = (false, 0, 8 - (6.0 * self.many()) as usize);
+        let (mut closed, mut tries, most) = (false, 0, 8 - (6.0 * self.terms.many()) as usize);
         while let Some(no) = self.waiting.turn.pop() {
             self.calls[no].held = false;
             if (closed || tries >= most) && self.left(no) > Span::ZERO {
-                let full = f64::from(self.setups.out) >= self.setups.window;
                 let turn = self.waiting.held.len() as f64 * self.rates.setup / self.setups.window;
-                if full && self.left(no).seconds() < turn {
-                    self.answer(no, port);
+                let late = self.setups.are_full() && self.left(no).seconds() < turn;
+                if late {
+                    self.answer(no, port)
                 } else {
-                    self.hold(no, port);
+                    self.hold(no, port)
                 }
                 continue;
             }
@@ -410,7 +387,7 @@
         // Danger: all nodes see the same late word and would fill the same gap, each the whole of it. Each
         // takes the mean of what all nodes hold there, and of its own legs since then that all send alike.
         let nodes = f64::from(self.terms.nodes.max(1));
-        (ours + 2.0 * others) / nodes + self.unseen() * (to.fresh[0] + to.fresh[1])
+        (ours + 2.0 * others) / nodes + self.terms.unseen() * (to.fresh[0] + to.fresh[1])
     }
 
     /// The score by the host's size, stretched while the host copes badly. Hosts of another zone carry a
@@ -419,16 +396,8 @@
         let to = &self.hosts[host];
         // 10: a crossing price of a tenth keeps calls at home until hosts there are strained.
         let away = if to.zone == self.terms.zone { 0.0 } else { (10.0 * self.terms.crossing_price).min(1.0) };
-        ((self.score(host) + self.unseen() * to.phase) / self.size(host) + away * local) * (1.0 + to.strain)
-    }
-
-    fn many(&self) -> f64 {
-        many(&self.terms)
-    }
-
-    /// Near 1 for a few nodes, 0 from a dozen on.
-    fn few(&self) -> f64 {
-        (1.0 - 2.0 * self.many()).max(0.0)
+        ((self.score(host) + self.terms.unseen() * to.phase) / self.size(host) + away * local)
+            * (1.0 + to.strain)
     }
 
     /// What the other nodes are held to have on a host for its size, each as much as this node has in all.
@@ -438,7 +407,7 @@
         if told {
             0.0
         } else {
-            self.many() * nodes * self.rates.held * self.hosts[host].held / self.size(host)
+            self.terms.many() * nodes * self.rates.held * self.hosts[host].held / self.size(host)
         }
     }
 
@@ -469,13 +438,13 @@
 
     /// What the call itself adds: its load where that is known, and its group where the host has none of it.
     fn added(&self, no: usize, host: usize, away: f64) -> f64 {
-        let unseen = self.unseen();
+        let unseen = self.terms.unseen();
         let load = self.expected(no) * (1.0 - unseen) / self.size(host);
         if away == 0.0 {
             return load;
         }
         let group = GROUP * if away <= 1.0 { 1.0 - unseen } else { 1.0 - unseen + unseen * away };
-        load + group * ((1.0 - unseen) / self.size(host) + unseen / self.mean_size)
+        load + group * ((1.0 - unseen) / self.size(host) + unseen / self.fleet.mean_size)
     }
 
     /// Where a host stands in the group's order: 0 has some of the group, up to 1 is one of its homes.
@@ -487,11 +456,7 @@
     /// fleet goes under. Unless nearly all is open they wait for a home, or for a host that pays already; as
     /// all that rests on homes, the more so, the less of the fleet a node sees.
     fn is_bound(&self, no: usize) -> bool {
-        self.calls[no].call.group.is_some() && self.open < 0.95 * self.unseen()
-    }
-
-    fn unseen(&self) -> f64 {
-        unseen(&self.terms)
+        self.calls[no].call.group.is_some() && self.fleet.open < 0.95 * self.terms.unseen()
     }
 
     /// Danger: a node that holds few connections sees few of a group's, and all nodes together spread the
@@ -506,17 +471,17 @@
             // them. 50 and 120 were within 0.03.
             const ALIKE: f64 = 20.0;
             let ours = f64::from(self.groups.of(group));
-            let part = (ours + ALIKE * self.likeness) / (self.groups.all as f64 + ALIKE);
+            let part = (ours + ALIKE * self.groups.likeness) / (self.groups.all as f64 + ALIKE);
             let near = |to: &&Host| to.zone == self.terms.zone && to.condition == Condition::Ready;
             let near = self.hosts.iter().filter(near).count();
             // A group that fills under a quarter of a host costs more in each zone than its crossings: its
             // homes are drawn from all zones. Limits from 0.03 to four hosts were tried.
             let small = part * (near as f64) < 0.25;
-            let foreign =
-                (1.0 - 10.0 * self.terms.crossing_price).max(self.taken_over() / self.unseen().max(0.1));
+            let foreign = (1.0 - 10.0 * self.terms.crossing_price)
+                .max(self.taken_over() / self.terms.unseen().max(0.1));
             let foreign = if small { 1.0 } else { foreign.clamp(0.0, 1.0) };
             let mut usable = 0;
-            let many = self.many();
+            let many = self.terms.many();
             keys.extend(self.hosts.iter().enumerate().map(|(host, to)| {
                 let near = if to.zone == self.terms.zone { 1.0 } else { foreign };
                 // Danger: a cold host drawn by what it can do now is nobody's home while it warms up.
@@ -527,7 +492,7 @@
                 usable += 1;
                 (1.0 - draw(group.0, to.id.0)) / weight
             }));
-            let homes = 1 + (self.open * part * f64::from(usable) + 0.75) as usize;
+            let homes = 1 + (self.fleet.open * part * f64::from(usable) + 0.75) as usize;
             self.homes.bound(&keys, homes);
             for (key, on) in keys.iter_mut().zip(self.groups.on(group)) {
                 *key = if *on > 0 { 0.0 } else { *key };
@@ -609,13 +574,9 @@
 
     fn learn(&mut self, no: usize, ended: Ended, _: &mut dyn Port) -> Back {
         let host = ended.host;
-        let young = self.now.since(self.calls[no].sent) < Span::ms(5000);
         if !ended.was_set_up && matches!(ended.ending, Ending::Error | Ending::TimedOut) {
             self.set_up_in(no, None);
         }
-        if young && !matches!(ended.ending, Ending::Completed | Ending::Recalled | Ending::NeverSent) {
-            self.rates.failed = (self.rates.failed + 1.0).min(self.rates.tried);
-        }
         match (ended.ending, ended.was_set_up) {
             (Ending::Broken, true) => {
                 // Danger: a host that died takes all its connections along; the list says so seconds later.
@@ -645,9 +606,9 @@
         Back::Pass
     }
 
-    /// Danger: where setups share a store, clients that come back together fill its queue, what waits there too
-    /// long is given up but worked on, and from then on nothing comes back in time. As many setups are out as
-    /// come back within two thirds of their target; more are tried while they take less than a third.
+    /// Danger: where setups share a store, clients that come back together fill its queue, what is given up
+    /// there is worked on all the same, and nothing comes back in time any more. So many are out as come back
+    /// within two thirds of their target; more are tried while they take less than a third.
     fn set_up_in(&mut self, no: usize, took: Option<Span>) {
         let target = self.terms.traffic[usize::from(self.calls[no].call.traffic.0)].setup_target.seconds();
         let part = took.map_or(f64::INFINITY, |took| took.seconds() / target.max(1e-3));
@@ -685,7 +646,7 @@
     }
 
     /// Danger: when most hosts look bad it is more likely the node's own view, and the rest would be crushed.
-    fn doubt(&mut self) {
+    pub(crate) fn doubt(&mut self) {
         let ready = self.hosts.iter().filter(|to| to.condition == Condition::Ready);
         let (all, aside) =
             ready.fold((0, 0), |(all, aside), to| (all + 1, aside + usize::from(to.aside.is_some())));
@@ -711,8 +672,8 @@
         }
     }
 
-    /// Danger: where nobody tells how long messages take, nobody sees a neighbour take half of a machine. It
-    /// slows answers to probes at once: those with connections get some in turn, three a call at the most.
+    /// Danger: where nobody tells message times, nobody sees a neighbour take half of a machine. It slows
+    /// answers to probes at once: hosts with connections get some in turn, three a call at the most.
     fn listen_to_hosts(&mut self, port: &mut dyn Port) {
         let most = ((3.0 * self.rates.arrival) as usize + 1).min(self.hosts.len());
         for _ in 0..if self.terms.message_times || !self.terms.may_probe { 0 } else { most } {
@@ -750,7 +711,7 @@
             // Halves in 5 s, the time between two moves; where the node holds nothing it hears nothing.
             to.strain *= if to.legs.is_empty() { 0.97 } else { 0.87 };
         }
-        self.likeness += (self.groups.alike() - self.likeness) * (1.0 / self.seconds as f64).max(0.06);
+        self.groups.weigh((1.0 / self.seconds as f64).max(0.06));
         self.rates.fade(0.8);
         self.setups.window = (0.8 * self.setups.window).max(NARROW.min(self.setups.window));
         self.fill_budgets(elapsed);
@@ -784,10 +745,10 @@
             let size = self.size(host);
             (open + if self.is_trusted(host) { size } else { 0.0 }, all + size, n + 1.0)
         });
-        (self.open, self.mean_size) = if all > 0.0 { (open / all, all / n) } else { (1.0, 1.0) };
-        self.level = sums.0 / sums.1.max(1e-9);
+        (self.fleet.open, self.fleet.mean_size) = if all > 0.0 { (open / all, all / n) } else { (1.0, 1.0) };
+        self.fleet.level = sums.0 / sums.1.max(1e-9);
         for host in 0..self.hosts.len() {
-            let (weight, mean) = (self.weight(host), 1.5 * self.level * self.size(host));
+            let (weight, mean) = (self.weight(host), 1.5 * self.fleet.level * self.size(host));
             let to = &mut self.hosts[host];
             if !std::mem::take(&mut to.over) && to.limit.is_finite() {
                 // Danger: where all broke, limit and mean are nothing, and nothing grows from that.
@@ -844,11 +805,8 @@
 
     /// A connection's load in connections of the mean load, as far as that was told.
     fn told_weight(&self, no: usize) -> f64 {
-        if self.loads.mean > 0.0 {
-            self.calls[no].load.map_or(1.0, |load| load / self.loads.mean)
-        } else {
-            1.0
-        }
+        let mean = self.loads.mean;
+        self.calls[no].load.filter(|_| mean > 0.0).map_or(1.0, |load| load / mean)
     }
 
     /// What a connection asks of its host for its revenue.
@@ -875,19 +833,15 @@
     /// Danger: all nodes together push a cold host over. Each sends it no more than its own part of what a
     /// host carries in the mean, times what the cold host can do by now and the multiple allowed.
     fn fill_budgets(&mut self, elapsed: f64) {
-        // Danger: clients that return together would swell the rate, and the budgets with it. Those that say
-        // they return are not counted; a rise to three times a second catches the rest.
-        let seen = (f64::from(self.rates.arrivals) / elapsed).min(3.0 * self.rates.arrival + 1.0);
-        self.rates.arrivals = 0;
-        self.rates.arrival += (seen - self.rates.arrival) * (1.0 / self.seconds as f64).max(0.06);
-        let ready = self.hosts.iter().filter(|to| to.condition == Condition::Ready);
-        let shares: f64 = ready.map(|to| to.nominal.0).sum();
+        let first = 1.0 / self.seconds as f64;
+        self.rates.count(elapsed, first.max(0.06));
         // Danger: calls that wait, or hosts that are lost, would raise what a host seems to carry, and with
         // it what cold ones are sent: connections that stand count, and what is usual follows them slowly.
         let stand = self.hosts.iter().map(|to| to.stand() - f64::from(to.setting_up)).sum::<f64>();
         let ready = (0..self.hosts.len()).filter(|host| self.hosts[*host].condition == Condition::Ready);
-        let size = ready.map(|host| self.size(host)).sum();
-        let first = 1.0 / self.seconds as f64;
+        let (shares, size) = ready.fold((0.0, 0.0), |(shares, size), host| {
+            (shares + self.hosts[host].nominal.0, size + self.size(host))
+        });
         self.rates.weigh(stand, shares, size, first);
         self.sizes.weigh(&self.hosts, f64::from(self.terms.nodes), stand, first.max(0.06));
         for host in 0..self.hosts.len() {
@@ -895,11 +849,14 @@
             if warmth < 1.0 {
                 // Twice what a host carries came to half of the limit on days drawn to break the rule. Many
                 // nodes use up theirs in full, and take it once.
-                let part =
-                    self.hosts[host].nominal.0 / shares.max(1e-6) * self.rates.arrival * (2.0 - self.many());
+                let part = self.hosts[host].nominal.0 / shares.max(1e-6)
+                    * self.rates.arrival
+                    * (2.0 - self.terms.many());
                 // Danger: in a rush all nodes use theirs in full: 32 pushed a host over, each by one call.
-                let fill =
-                    self.calm().max(0.67 * warmth) * self.many() * self.rates.held * self.warming_fill(host);
+                let fill = self.calm().max(0.67 * warmth)
+                    * self.terms.many()
+                    * self.rates.held
+                    * self.warming_fill(host);
                 let rate = fill.max(self.terms.warming.multiple * warmth * part);
                 let to = &mut self.hosts[host];
                 to.save_up(rate, self.terms.warming.window, self.now);
@@ -916,14 +873,12 @@
         3.0 * warming.multiple * self.hosts[host].nominal.0 / warming.after.seconds().max(1e-9)
     }
 
-    /// Danger: a host that started of late looks like any other to a node that holds less than one connection
-    /// a host. What the others hold is reckoned from the list: connections end as ours do or with their host,
-    /// and go to cold hosts by what all nodes may send there, the others where they spread by size.
+    /// Danger: a host that started of late looks like any other to a node with less than a connection a host.
+    /// What others hold is reckoned: it ends as ours does or with its host, and goes to cold hosts first.
     fn reckon(&mut self, elapsed: f64) {
         let leave = (self.rates.arrival / (self.calls.len() as f64).max(1.0) * elapsed).min(1.0);
-        let takes: Vec<(f64, f64)> = (0..self.hosts.len())
-            .map(|host| (self.warmth(host), self.warming_fill(host) * elapsed))
-            .collect();
+        let takes = (0..self.hosts.len()).map(|host| (self.warmth(host), self.warming_fill(host) * elapsed));
+        let takes: Vec<(f64, f64)> = takes.collect();
         spread_held(&mut self.hosts, leave, &takes);
     }
 
@@ -957,11 +912,6 @@
         f64::from(self.rng.generate::<f32>())
     }
 
-    /// Whether a host is set aside now; for who wants to see it.
-    pub fn avoids(&self, host: HostId) -> bool {
-        self.host_no.get(&host).is_some_and(|host| self.hosts[*host].aside.is_some())
-    }
-
     // What happens.
 
     pub fn call_taken(&mut self, now: Time, call: Call, port: &mut dyn Port) {
@@ -978,10 +928,10 @@
         }
     }
 
-    /// Danger: when much of a large fleet is lost or cold, its clients come again at once to the hosts that
-    /// are left; these go under, drop connections, and those come again. As far as less is there than usual,
-    /// a node on which connections broke within 5 s takes clients that come again up to that part of what it
-    /// usually has, and three tenths more (none and six were worse); the others hear at once when to return.
+    /// Danger: when much of a large fleet is lost or cold, its clients come again to the hosts that are left,
+    /// and these go under. As far as less is there than usual, a node on which connections broke within 5 s
+    /// takes clients that come again up to that part of its usual, and three tenths more (none and six were
+    /// worse); the others hear at once when to return.
     fn is_beyond_part(&mut self, no: usize) -> bool {
         let call = self.calls[no].call;
         let part = 1.3 * self.rates.size / self.rates.usual_size.max(1e-9);
@@ -989,7 +939,7 @@
             return false;
         }
         let stand = self.hosts.iter().map(Host::stand).sum::<f64>();
-        draw(call.id.0, self.terms.me.into()) < self.many()
+        draw(call.id.0, self.terms.me.into()) < self.terms.many()
             && stand + self.chance() > part * self.rates.usual_conns.max(1.0)
     }
 
@@ -1003,15 +953,15 @@
         self.rates.guests += f64::from(u8::from(guest));
         // Danger: limits in connections of ours, from when others had theirs there too, keep those out.
         for host in 0..if guest && self.taken_over() > 0.0 { self.hosts.len() } else { 0 } {
-            self.hosts[host].limit += self.few() * self.size(host) / self.rates.size.max(1e-9);
+            self.hosts[host].limit += self.terms.few() * self.size(host) / self.rates.size.max(1e-9);
         }
         no
     }
 
-    /// The part of our calls that another node had before. Danger: when a node drains or dies, its clients come
-    /// to one that keeps to its own zone and its limits. Of many nodes each has too few calls to tell.
+    /// The part of our calls that another node had before. Danger: when a node drains or dies, its clients
+    /// come to one that keeps to its own zone and its limits. Of many nodes each has too few calls to tell.
     fn taken_over(&self) -> f64 {
-        self.few() * self.rates.taken_over(self.calls.len()) / self.calls.len().max(1) as f64
+        self.terms.few() * self.rates.taken_over(self.calls.len()) / self.calls.len().max(1) as f64
     }
 
     pub fn connection_found(&mut self, now: Time, call: Call, host: HostId) {
@@ -1133,36 +1083,6 @@
         }
     }
 
-    // From one process of the node to the next.
-
-    /// What the next process has to know to go on from here.
-    pub fn legacy(&self) -> Legacy {
-        let open = self.calls.iter().filter_map(|(_, held)| held.call.subject.zip(held.load));
-        let loads = self.remembered.all().chain(open).collect();
-        Legacy {
-            hosts: self.hosts.iter().map(Host::legacy).collect(),
-            loads,
-            ..self.rates.legacy(&self.loads)
-        }
-    }
-
-    /// Danger: a process that begins with nothing takes hosts for empty and known to be well, sends cold ones
-    /// a second budget, and holds the clients that the old one sends over for another node's.
-    pub fn inherit(&mut self, legacy: &Legacy) {
-        let known = legacy.hosts.iter().filter_map(|of| Some((*self.host_no.get(&of.host)?, of)));
-        known.for_each(|(host, of)| self.hosts[host].inherit(of, self.now));
-        legacy.loads.iter().for_each(|(subject, load)| self.remembered.keep(Some(*subject), Some(*load)));
-        self.rates.inherit(&mut self.loads, legacy);
-        // Past the time in which means are those of all seconds so far.
-        self.seconds = 50;
-        self.doubt();
-    }
-
-    /// How many connections the process before has at a host now; without a host, at all of them.
-    pub fn elder_at(&mut self, host: Option<HostId>, n: f64) {
-        self.hosts.iter_mut().filter(|to| host.is_none_or(|host| host == to.id)).for_each(|to| to.elder = n);
-    }
-
     // The host list.
 
     pub fn list_told(&mut self, now: Time, extent: Extent, lines: &[Listed], port: &mut dyn Port) {
@@ -1214,7 +1134,7 @@
     /// window. Each starts another part of a call below zero; of many nodes, below one.
     fn first_budget(&self, host: HostId) -> f64 {
         let turn = f64::from(self.terms.me) / f64::from(self.terms.nodes.max(1));
-        let many = self.many();
+        let many = self.terms.many();
         many * (turn + draw(host.0, 0)).fract() - (1.0 - many) * turn
     }
 
@@ -1240,8 +1160,7 @@
     fn question_list(&mut self, port: &mut dyn Port) {
         let Some(ask_within) = self.terms.ask_within else { return };
         let none_ready = !self.hosts.iter().any(|to| to.condition == Condition::Ready);
-        if self.hosts.is_empty() && !self.asking.asked && !self.asking.following && self.asking.refusals == 0
-        {
+        if self.hosts.is_empty() && self.asking.is_new() {
             self.asking.asked = true;
             port.follow_list();
         }
