Settings change in a running node, both ways: nothing taken is lost or sent twice

Before, SIGHUP took discovery and limits; settings waited for the next start. Now the whole file is checked and its settings count at once (Startup::renew, Node::renew): calls in hand keep guard time and legs, hosts what is known of them, cold budgets and set-asides too; the watch stands. Traffic types, customers and zones keep their numbers by name while the process runs, in whatever order a file has them; what is no longer named stays for what is in hand, and the next process is told names, not numbers. weightKind and loadReport.source are checked, the key named. On sockets the watch is kept under pushed as well: nothing else brings news there, and a node that began pushed never asked.

Tests, each seen to fail before: switch (a once-only call out and a line half written while settings change there and back, two faulty files, twice in a row, during a drain; counts agree with the stand-ins), switch_upgrade (by number the next process took pay for fax), settings_change_and_names_keep_their_numbers, what_is_told_is_read_the_same.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use glendeck::domain::{HostId, Span, Terms};
+use glendeck::domain::{HostId, Span, Terms, Zone};
 use glendeck_terms::Pairs;
 use serde_json::Value;
 use tracing::level_filters::LevelFilter;
@@ -50,20 +50,62 @@
     pub folder: Option<PathBuf>,
 }
 
+/// What a configuration read anew has changed.
+pub struct Renewed {
+    pub settings: bool,
+    /// There are more zones than before.
+    pub zones: bool,
+    /// What has to wait for a new start.
+    pub later: Vec<&'static str>,
+}
+
+/// Puts what is new at the end; says what number each name has.
+fn merge(known: &mut Vec<String>, names: Vec<String>) -> Vec<usize> {
+    let mut number = |name: String| {
+        known.iter().position(|known| *known == name).unwrap_or_else(|| {
+            known.push(name);
+            known.len() - 1
+        })
+    };
+    names.into_iter().map(&mut number).collect()
+}
+
 impl Startup {
-    /// Takes over what may change while the node serves, and says what has to wait for a new start.
-    pub fn renew(&mut self, new: Startup) -> Vec<&'static str> {
+    /// Takes over what may change while the node serves. Danger: calls in hand, hosts and figures go by the
+    /// numbers of traffic types, customers and zones. A name keeps its number as long as the process runs, in
+    /// whatever order a file has them; what a file no longer names stays as it was, for what is in hand.
+    pub fn renew(&mut self, new: Startup) -> Renewed {
         let later = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
             ("admin", self.admin != new.admin),
-            ("settings", self.terms != new.terms || self.names != new.names || self.zones != new.zones),
         ];
+        let before = (self.terms.clone(), self.names.clone(), self.zones.len());
         (self.discovery, self.descriptors) = (new.discovery, new.descriptors);
-        later.iter().filter(|(_, changed)| *changed).map(|(key, _)| *key).collect()
+        let zones = merge(&mut self.zones, new.zones);
+        let types = merge(&mut self.names.traffic, new.names.traffic);
+        merge(&mut self.names.tenants, new.names.tenants);
+        self.names.groups = new.names.groups;
+        let mut traffic = self.terms.traffic.clone();
+        for (at, of) in types.into_iter().zip(new.terms.traffic) {
+            if at < traffic.len() { traffic[at] = of } else { traffic.push(of) }
+        }
+        let zone = zones.get(usize::from(new.terms.zone.0)).map_or(new.terms.zone, |at| Zone(*at as u16));
+        self.terms = Terms { traffic, zone, ..new.terms };
+        self.connect_limit = new.connect_limit;
+        // Calls in hand keep the guard time that they came with.
+        self.longest_guard = self.longest_guard.max(new.longest_guard);
+        Renewed {
+            settings: before != (self.terms.clone(), self.names.clone(), self.zones.len()),
+            zones: before.2 != self.zones.len(),
+            later: later.iter().filter(|(_, changed)| *changed).map(|(key, _)| *key).collect(),
+        }
     }
 }
 
+/// Where the settings do not say how often the list is to be asked for: what the platform's usually say.
+const WATCH_WITHIN: Span = Span::ms(10_000);
+
 /// How much is logged; a name of the program's own, as the platform says nothing of it.
 pub fn log_level() -> Result<LevelFilter, ConfigFault> {
     match std::env::var("GLENDECK_LOG") {
@@ -109,6 +151,11 @@
     // Danger: the settings promise message times, but lines between nodes and hosts carry none, and the
     // decisions would wait for them while hosts go under.
     let terms = Terms { message_times: false, ..glendeck_terms::terms(&pairs)? };
+    // Danger: nothing comes unasked on these sockets but what a watch brings, and a node that waited for a push
+    // would never hear of its hosts: it keeps its watch under either mode, as often as asked-for lists want it.
+    let ask_within =
+        terms.ask_within.map_or_else(|| pairs.span_or("safety.askWithinMs", WATCH_WITHIN), Ok)?;
+    let terms = Terms { ask_within: Some(ask_within), ..terms };
     let traffic = named(settings, "trafficTypes")?;
     let guards = (0..traffic.len()).map(|i| pairs.span(&format!("trafficTypes.{i}.guardTimeMs")));
     let longest_guard = guards.collect::<Result<Vec<_>, _>>()?.into_iter().max().unwrap_or_default();
@@ -206,6 +253,10 @@
     #[test_case("retryable", "any", Some("trafficTypes.0.effect"); "an unknown effect")]
     #[test_case("\"maxLegs\":3", "\"maxLegs\":-1", Some("caps.maxLegs"); "a number out of range")]
     #[test_case("2000.0", "\"long\"", Some("trafficTypes.0.guardTimeMs"); "a time that is none")]
+    #[test_case("\"tickMs\"", "\"weightKind\":\"odd\",\"tickMs\"", Some("weightKind"); "weights that mean nothing known")]
+    #[test_case("\"tickMs\"", "\"weightKind\":\"live\",\"tickMs\"", None; "weights that fall with load")]
+    #[test_case("\"tickMs\"", "\"loadReport\":{\"source\":\"probe\"},\"tickMs\"", Some("loadReport.source"); "reports from probes that are not allowed")]
+    #[test_case("\"pushed\"", "\"told\"", Some("membershipMode"); "a list that comes in no known way")]
     #[test_case("\"known\":null", "\"known\":{}", Some("known"); "a list that is none")]
     #[test_case("}}", "}", Some("ROUTER_CONFIG"); "no JSON")]
     fn faults_name_the_key(from: &str, to: &str, key: Option<&str>) {
@@ -216,4 +267,27 @@
             (fault, key) => assert_eq!(fault.as_deref(), key),
         }
     }
+
+    /// What counts at once, by name: numbers stay what they were while the process runs.
+    #[test]
+    fn settings_change_and_names_keep_their_numbers() {
+        let start = |text: &str| super::read(text, |_| None).unwrap();
+        let mut here = start(GOOD);
+        let more = GOOD
+            .replace("[\"x\"]", "[\"w\",\"x\"]")
+            .replace("\"myZone\":0", "\"myZone\":1,\"weightKind\":\"live\"")
+            .replace("[{\"name\":\"t\"", "[{\"name\":\"s\",\"effect\":\"fragile\",\"setupTargetMs\":1.0,\"guardTimeMs\":9000.0,\"revenue\":2.0},{\"name\":\"t\"");
+        let renewed = here.renew(start(&more));
+        assert!(renewed.settings && renewed.zones && renewed.later.is_empty());
+        assert_eq!((here.zones.as_slice(), here.terms.zone.0), (["x", "w"].map(String::from).as_slice(), 0));
+        assert_eq!(here.names.traffic, ["t", "s"]);
+        assert_eq!(here.terms.traffic.iter().map(|of| of.revenue).collect::<Vec<_>>(), [1.0, 2.0]);
+        assert_eq!(here.terms.weights, glendeck::domain::Weights::Live);
+        // The way back is the same step; what is in hand may still go by the names that are gone.
+        let renewed = here.renew(start(GOOD));
+        assert!(renewed.settings && !renewed.zones);
+        assert_eq!(here.terms.weights, glendeck::domain::Weights::Sizes);
+        assert_eq!((here.names.traffic.len(), here.terms.traffic.len(), here.zones.len()), (2, 2, 2));
+        assert!(!here.renew(start(GOOD)).settings);
+    }
 }
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -35,6 +35,12 @@
         Figures { of_type: names.iter().map(|name| (name.clone(), Outcomes::default())).collect(), legs: 0 }
     }
 
+    /// Types that the settings name since they changed begin with 0.
+    pub fn name(&mut self, names: &[String]) {
+        let new = names.iter().skip(self.of_type.len());
+        self.of_type.extend(new.map(|name| (name.clone(), Outcomes::default())));
+    }
+
     /// Danger: called once for each call that was read, or sums would drift from what clients saw: when its
     /// connection comes up, when it is turned away unread by the decisions, or when it is forgotten unopened.
     pub fn count(&mut self, traffic: TrafficId, outcome: Outcome) {
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -14,7 +14,7 @@
 
 use glendeck::domain::{
     Call, CallId, Cell, Condition, Ending, Extent, GroupId, HostId, HostLegacy, Kind, LegNo, Legacy, Listed,
-    Span, SubjectId, TenantId, Time, TrafficId, Weight, Zone,
+    Size, Span, SubjectId, TenantId, Time, TrafficId, Weight, Zone,
 };
 use rustix::io::Errno;
 use rustix::net::{
@@ -24,6 +24,7 @@
 use serde_json::{Value, json};
 use tracing::{debug, info, warn};
 
+use crate::config::Startup;
 use crate::conn::{Conn, Got};
 use crate::hosts::SEND_AWAY;
 use crate::line::{ClientId, LONGEST, first_line};
@@ -105,6 +106,10 @@
     pub list: Told,
     pub node: Legacy,
     pub drained: bool,
+    /// The zones' and traffic types' names by their numbers there. Danger: a process whose settings were changed
+    /// while it served has them in another order than its file.
+    pub zones: Vec<String>,
+    pub types: Vec<String>,
 }
 
 /// What this process has from the one before.
@@ -121,7 +126,8 @@
 
 impl Inherited {
     /// Asks the process that serves at this address, if there is one. It blocks, as nothing is served yet.
-    pub fn ask(folder: Option<&Path>, address: SocketAddr, zones: &[String]) -> Option<Inherited> {
+    pub fn ask(startup: &Startup) -> Option<Inherited> {
+        let (folder, address) = (startup.folder.as_deref(), startup.listen);
         let path = path(folder?, address);
         // Nothing there is the usual case, and where Unix sockets are refused none is made for it.
         path.symlink_metadata().ok()?;
@@ -147,7 +153,7 @@
             warn!("the process before did not hand over its socket");
             return None;
         };
-        let told = message.and_then(|message| decode(&message, zones));
+        let told = message.and_then(|message| decode(&message, &startup.zones, &startup.names.traffic));
         if told.is_none() {
             warn!("what the process before told cannot be read: starting cold");
         }
@@ -221,19 +227,24 @@
         .map(|of| {
             json!({"host": of.host.0, "open": of.open, "smoothed": of.smoothed, "limit": of.limit,
                    "strain": of.strain, "aside": of.aside, "budget": of.budget, "held": of.held,
-                   "answers": of.answers})
+                   "answers": of.answers, "nominal": of.nominal.map(|size| size.0)})
         })
         .collect();
     let loads: Vec<Value> = node.loads.iter().take(CLIENTS).map(|(of, load)| json!([of.0, load])).collect();
     json!({"index": standing.list.index, "list": hosts, "hosts": figures, "loads": loads,
            "mean_load": node.mean_load, "of_type": node.of_type, "arrival": node.arrival, "held": node.held,
            "usual_conns": node.usual_conns, "size": node.size, "usual_size": node.usual_size,
-           "setup": node.setup, "drained": standing.drained})
+           "setup": node.setup, "drained": standing.drained, "zones": standing.zones, "types": standing.types})
 }
 
 /// Strictly: one thing amiss, and none of it counts.
-fn decode(message: &[u8], zones: &[String]) -> Option<Standing> {
+fn decode(message: &[u8], zones: &[String], types: &[String]) -> Option<Standing> {
     let json: Value = serde_json::from_slice(message).ok()?;
+    // A process before this one told no names: its numbers are those of the file.
+    let names = |key: &str| -> Option<Vec<String>> {
+        json.get(key)?.as_array()?.iter().map(|name| name.as_str().map(str::to_owned)).collect()
+    };
+    let (theirs, their_types) = (names("zones"), names("types"));
     let number = |of: &Value, key: &str| of.get(key)?.as_f64().filter(|number| number.is_finite());
     let whole = |of: &Value, key: &str| of.get(key)?.as_u64();
     let (mut lines, mut addresses) = (Vec::new(), Vec::new());
@@ -244,7 +255,13 @@
         lines.push(Listed {
             host,
             // Zones are numbered by the settings; one that these do not name is no zone of ours.
-            zone: Zone(zone.min(zones.len() as u16)),
+            zone: Zone(match &theirs {
+                Some(theirs) => {
+                    let name = theirs.get(usize::from(zone));
+                    zones.iter().position(|known| Some(known) == name).unwrap_or(zones.len()) as u16
+                }
+                None => zone.min(zones.len() as u16),
+            }),
             cell: Cell(u16::try_from(whole(of, "cell")?).ok()?),
             condition: condition(of.get("condition")?.as_str()?)?,
             weight: Weight(number(of, "share").filter(|weight| *weight >= 0.0)?),
@@ -269,6 +286,10 @@
     for mean in json.get("of_type")?.as_array()? {
         node.of_type.push(mean.as_f64()?);
     }
+    if let Some(theirs) = &their_types {
+        let mean = |name| theirs.iter().position(|known| known == name).and_then(|at| node.of_type.get(at));
+        node.of_type = types.iter().map(|name| mean(name).copied().unwrap_or_default()).collect();
+    }
     for load in json.get("loads")?.as_array()? {
         let [subject, load] = load.as_array()?.as_slice() else { return None };
         node.loads.push((SubjectId(subject.as_u64()?), load.as_f64()?));
@@ -287,10 +308,18 @@
             budget: number(of, "budget")?,
             held: number(of, "held")?,
             answers: number(of, "answers")?,
+            nominal: of.get("nominal").and_then(Value::as_f64).filter(|size| size.is_finite()).map(Size),
         });
     }
     let list = Told { index: whole(&json, "index")?, extent: Extent::Whole, lines, addresses };
-    Some(Standing { list, node, drained: json.get("drained")?.as_bool()? })
+    let drained = json.get("drained")?.as_bool()?;
+    Some(Standing {
+        list,
+        node,
+        drained,
+        zones: theirs.unwrap_or_default(),
+        types: their_types.unwrap_or_default(),
+    })
 }
 
 impl Service {
@@ -354,7 +383,9 @@
     fn hand_over(&mut self, id: ConnId) {
         let (Some(node), Some(index)) = (self.legacy(), self.list.index()) else { return self.heir_gone(id) };
         let drained = matches!(self.phase, Phase::Draining { .. });
-        let message = encode(&Standing { list: self.hosts.told(index), node, drained }).to_string();
+        let (zones, types) = (self.startup.zones.clone(), self.startup.names.traffic.clone());
+        let message =
+            encode(&Standing { list: self.hosts.told(index), node, drained, zones, types }).to_string();
         let head = format!("{STANDING} {}\n", message.len());
         let uses = self.descriptors();
         let Some(listener) = &self.listener else { return self.heir_gone(id) };
@@ -459,7 +490,7 @@
         }
         let of = &held.call;
         let said = json!({
-            "id": held.id.0, "traffic": of.traffic.0, "tenant": of.tenant.0,
+            "id": held.id.0, "traffic": of.traffic.0, "type": self.startup.names.traffic.get(usize::from(of.traffic.0)), "tenant": of.tenant.0,
             "subject": of.subject.map(|subject| subject.0), "group": of.group.map(|group| group.0),
             "load": of.load, "host": leg.host.0, "asked": held.asked.map(|asked| self.now.since(asked).0),
             "client_in": hex(&ours.conn.inbox), "client_out": hex(ours.conn.to_go()),
@@ -606,7 +637,10 @@
         let bytes = |key: &str| unhex(json.get(key)?.as_str()?);
         let call = Call {
             id: CallId(0),
-            traffic: TrafficId(u8::try_from(whole("traffic")?).ok()?),
+            traffic: match json.get("type").and_then(Value::as_str) {
+                Some(name) => TrafficId(self.startup.names.traffic.iter().position(|at| at == name)? as u8),
+                None => TrafficId(u8::try_from(whole("traffic")?).ok()?),
+            },
             tenant: TenantId(u32::try_from(whole("tenant")?).ok()?),
             subject: whole("subject").map(SubjectId),
             group: whole("group").map(GroupId),
@@ -695,6 +729,7 @@
             budget: -0.5,
             held: 1.0,
             answers: 0.001,
+            nominal: Some(Size(2.5)),
         };
         let node = Legacy {
             hosts: vec![of, HostLegacy { limit: Some(4.0), ..of }],
@@ -705,21 +740,26 @@
         };
         let addresses = vec![(host, "127.0.0.1:4000".parse().unwrap())];
         let list = Told { index: 41, extent: Extent::Whole, lines: vec![listed], addresses };
-        Standing { list, node, drained: true }
+        let (zones, types) = (vec!["x".into(), "y".into()], vec!["chat".into(), "pay".into()]);
+        Standing { list, node, drained: true, zones, types }
     }
 
     #[test]
     fn what_is_told_is_read_the_same() {
-        let zones = ["x".to_owned(), "y".to_owned()];
+        let (zones, types) = (["x", "y"].map(String::from), ["chat", "pay"].map(String::from));
         let (told, text) = (standing(), encode(&standing()).to_string());
-        let read = decode(text.as_bytes(), &zones).unwrap();
+        let read = decode(text.as_bytes(), &zones, &types).unwrap();
         assert_eq!((&read.node, read.drained), (&told.node, true));
         assert_eq!(
             (read.list.index, &read.list.lines, &read.list.addresses),
             (41, &told.list.lines, &told.list.addresses)
         );
         // A zone that the settings do not name any more is none of ours.
-        assert_eq!(decode(text.as_bytes(), &[]).unwrap().list.lines[0].zone, Zone(0));
+        assert_eq!(decode(text.as_bytes(), &[], &types).unwrap().list.lines[0].zone, Zone(0));
+        // Another order, and more of them: a name is what counts.
+        let (zones, types) = (["y", "z", "x"].map(String::from), ["fax", "pay", "chat"].map(String::from));
+        let read = decode(text.as_bytes(), &zones, &types).unwrap();
+        assert_eq!((read.list.lines[0].zone, read.node.of_type), (Zone(0), vec![0.0, 0.2, 0.1]));
     }
 
     /// Danger: half a message taken for a whole one would be hosts taken for empty. It is all or nothing.
@@ -727,16 +767,16 @@
     fn what_is_amiss_counts_for_nothing() {
         let text = encode(&standing()).to_string();
         for end in 0..text.len() {
-            assert!(decode(&text.as_bytes()[..end], &[]).is_none());
+            assert!(decode(&text.as_bytes()[..end], &[], &[]).is_none());
         }
         for key in
             ["index", "list", "hosts", "loads", "of_type", "drained", "address", "condition", "open", "aside"]
         {
             let other = text.replace(&format!("\"{key}\":"), "\"other\":");
-            assert!(decode(other.as_bytes(), &[]).is_none(), "without {key}");
+            assert!(decode(other.as_bytes(), &[], &[]).is_none(), "without {key}");
         }
         let wrong = text.replace("\"draining\"", "\"well\"");
-        assert!(decode(wrong.as_bytes(), &[]).is_none());
+        assert!(decode(wrong.as_bytes(), &[], &[]).is_none());
     }
 
     #[test]
--- a/crates/node/src/line.rs
+++ b/crates/node/src/line.rs
@@ -21,7 +21,7 @@
 }
 
 /// The names that lines use for what the decisions number.
-#[derive(PartialEq)]
+#[derive(Clone, PartialEq)]
 pub struct Names {
     pub traffic: Vec<String>,
     pub tenants: Vec<String>,
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -305,8 +305,7 @@
 
 impl Service {
     pub fn start(mut startup: Startup) -> Result<Service, ServiceFault> {
-        let address = startup.listen;
-        let inherited = Inherited::ask(startup.folder.as_deref(), address, &startup.zones);
+        let (address, inherited) = (startup.listen, Inherited::ask(&startup));
         let (listener, mut inherited) = match inherited {
             // The process before goes on accepting until this one can serve.
             Some(Inherited { listener, line, told }) => (listener, Some((line, told))),
@@ -628,12 +627,19 @@
         match config::anew() {
             Ok(new) => {
                 let moved = new.discovery != self.startup.discovery;
-                let later = self.startup.renew(new);
+                let renewed = self.startup.renew(new);
                 info!(discovery = %self.startup.discovery, "configuration read anew");
-                for key in later {
+                for key in renewed.later {
                     warn!("{key} has changed in the configuration: that counts from the next start");
                 }
-                if moved {
+                if renewed.settings {
+                    let (terms, now) = (self.startup.terms.clone(), self.now);
+                    info!(weights = ?terms.weights, nodes = terms.nodes, "settings changed");
+                    self.figures.name(&self.startup.names.traffic);
+                    self.tell(|node, port| node.renew(now, terms, port));
+                }
+                // Danger: a host of a zone that had no number keeps a wrong one once there are more.
+                if moved || renewed.zones {
                     self.follow_elsewhere();
                 } else {
                     // While the watch stands there is nothing to ask; else this is when to try again.
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -330,14 +330,14 @@
         }
     }
 
-    fn change(&mut self, name: &str, status: &str) {
+    fn change(&mut self, name: &str, what: impl Fn(&mut Value)) {
         let (lock, changed) = &*self.registry;
         let mut registry = lock.lock().unwrap();
         registry.index += 1;
         let index = registry.index;
         let entry = registry.entries.iter_mut().find(|entry| entry.1["name"] == name).unwrap();
         entry.0 = index;
-        entry.1["status"] = status.into();
+        what(&mut entry.1);
         changed.notify_all();
     }
 
@@ -610,7 +610,11 @@
             }
             ["after", least] => assert!(self.asked.elapsed().as_secs_f64() >= least.parse().unwrap()),
             ["host", name, "gone"] => drop(self.hosts.remove(*name)),
-            ["list", name, status] => self.change(name, status),
+            ["list", name, "weighs", weight] => {
+                let weight: f64 = weight.parse().unwrap();
+                self.change(name, |entry| entry["weight"] = weight.into());
+            }
+            ["list", name, status] => self.change(name, |entry| entry["status"] = (*status).into()),
             ["discovery", "anew"] => {
                 let mut registry = self.registry.0.lock().unwrap();
                 registry.index = 0;
@@ -647,6 +651,34 @@
                 std::fs::write(&self.config, told.to_string()).unwrap();
                 kill_process(Pid::from_child(&self.child), Signal::HUP).unwrap();
             }
+            ["reload", "settings", changes @ ..] => {
+                // From the settings of the start, so that none at all is the way back.
+                let mut told = self.told.clone();
+                for change in changes {
+                    let (path, value) = change.split_once('=').unwrap();
+                    let (parent, key) = path.rsplit_once('/').unwrap();
+                    let value: Value = serde_json::from_str(value).unwrap();
+                    let parent = told["settings"].pointer_mut(parent).unwrap();
+                    if let Some(list) = parent.as_array_mut().filter(|_| key == "-") {
+                        // Another of the same, under this name, and before the others.
+                        list.insert(0, list[0].clone());
+                        list[0]["name"] = value;
+                    } else {
+                        parent[key] = value;
+                    }
+                }
+                std::fs::write(&self.config, told.to_string()).unwrap();
+                kill_process(Pid::from_child(&self.child), Signal::HUP).unwrap();
+                // The signal is there before the first caller, and what is there in one turn is done in it.
+                for _ in 0..2 {
+                    self.call_door("GET", "/v1/readyz").unwrap();
+                }
+            }
+            ["client", name, "finishes", rest] => {
+                self.tally.opened += 1;
+                self.end("client", name).say(format!("{rest}\r\n").as_bytes());
+                self.asked = Instant::now();
+            }
             ["term"] => {
                 kill_process(Pid::from_child(&self.child), Signal::TERM).unwrap();
                 self.asked = Instant::now();
@@ -681,6 +713,8 @@
 #[test_case("crowded"; "near the limit of descriptors clients are told to come back")]
 #[test_case("restart"; "told to end, it sends all clients away and exits")]
 #[test_case("rude"; "who says nothing, half a line or another's id is turned away and disturbs nobody")]
+#[test_case("switch"; "settings change in a running node, there and back, and no call is lost or sent twice")]
+#[test_case("switch_upgrade"; "a process whose settings changed hands over by name")]
 #[test_case("reload"; "a new configuration is followed under load, a bad one is not")]
 #[test_case("door"; "the operators' door answers whatever comes there, and its figures hold")]
 #[test_case("drain"; "a drained node sends its clients away, stays, and comes back")]
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -69,6 +69,10 @@
         Ok(Span::from_seconds(self.number(key)? / 1e3))
     }
 
+    pub fn span_or(&self, key: &str, absent: Span) -> Result<Span, Fault> {
+        if self.0.contains_key(key) { self.span(key) } else { Ok(absent) }
+    }
+
     pub fn flag(&self, key: &str) -> Result<bool, Fault> {
         self.parse(key, "true or false")
     }
@@ -138,6 +142,7 @@
         "pushed" => None,
         other => return Err(bad("membershipMode", other, "pushed or on_request")),
     };
+    check_reports(pairs)?;
     let come_back = pairs.flag("caps.retryAfter")?.then(|| pairs.span("caps.maxRetryAfterMs")).transpose()?;
     Ok(Terms {
         traffic,
@@ -174,6 +179,17 @@
     })
 }
 
+/// Load reports are not read by the decisions, but what is said of them has to make sense.
+fn check_reports(pairs: &Pairs) -> Result<(), Fault> {
+    let key = "loadReport.source";
+    match pairs.0.get(key).map(|source| &**source) {
+        None | Some("none" | "answers") => Ok(()),
+        Some("probe") if pairs.flag("caps.mayProbe")? => Ok(()),
+        Some(source @ "probe") => Err(bad(key, source, "another source where caps.mayProbe is false")),
+        Some(other) => Err(bad(key, other, "none, answers or probe")),
+    }
+}
+
 fn traffic(pairs: &Pairs, i: usize, message_target: Option<f64>) -> Result<Traffic, Fault> {
     let key = |name: &str| format!("trafficTypes.{i}.{name}");
     let effect = match pairs.text(&key("effect"))? {
--- a/src/book.rs
+++ b/src/book.rs
@@ -449,6 +449,7 @@
             budget: self.budget,
             held: self.held,
             answers: self.answers,
+            nominal: Some(self.nominal),
         }
     }
 
@@ -564,6 +565,14 @@
         to.fresh = [0.0, to.fresh[0]];
     }
 
+    /// What the hosts' sizes are known to be goes on, from before the settings changed or from another process.
+    pub fn know(&mut self, hosts: &[Host]) {
+        for (kind, to) in hosts.iter().filter_map(|to| Some((to.kind?, to))) {
+            let shown = self.of_kind.entry(kind).or_default();
+            *shown = shown.max(to.nominal.0);
+        }
+    }
+
     /// What a core of the fleet is to this node: its own connections times the nodes, for what hosts tell.
     pub fn weigh(&mut self, hosts: &[Host], nodes: f64, stand: f64, follow: f64) {
         let told = hosts.iter().filter(|to| to.condition != Condition::Gone);
--- a/src/domain.rs
+++ b/src/domain.rs
@@ -290,6 +290,8 @@
     pub held: f64,
     /// What its answers to probes take as a rule, in seconds.
     pub answers: f64,
+    /// `None` where a process before told none.
+    pub nominal: Option<Size>,
 }
 
 /// What one process of a node leaves to the next.
--- a/src/renewal.rs
+++ b/src/renewal.rs
@@ -1,8 +1,10 @@
-//! What a node goes on with: what one process of it leaves to the next. No decision is taken here.
+//! What a node goes on with: under other settings, and from one process of it to the next. No decision on a
+//! call is taken here.
 
-use crate::book::Host;
+use crate::book::{Asking, Host, Sizes};
 use crate::domain::*;
-use crate::rules::Node;
+use crate::port::Port;
+use crate::rules::{ASK, Node, list_spread, weighed};
 
 impl Node {
     /// Whether a host is set aside now; for who wants to see it.
@@ -10,6 +12,48 @@
         self.host_no.get(&host).is_some_and(|host| self.hosts[*host].aside.is_some())
     }
 
+    /// Other settings count from now on. Calls in hand keep the guard time and the legs that they have; hosts
+    /// keep what is known of them, their cold budgets and set-asides too. Types keep their numbers: the terms
+    /// may name more of them than before, not fewer.
+    pub fn renew(&mut self, now: Time, terms: Terms, port: &mut dyn Port) {
+        self.now = now;
+        let (asked, live) = (self.terms.ask_within.is_some(), self.terms.weights == Weights::Live);
+        self.terms = weighed(terms);
+        self.loads.of_type.resize(self.terms.traffic.len(), 0.0);
+        match self.terms.weights {
+            // Danger: what was told of loads would go on to count beside sizes, and never age.
+            Weights::Sizes => {
+                self.sizes = Sizes::default();
+                self.hosts.iter_mut().for_each(|to| (to.told_held, to.fresh) = (None, [0.0; 2]));
+            }
+            // Danger: without the sizes of before, the first weights that fell with load would be taken for them.
+            Weights::Live if !live => self.sizes.know(&self.hosts),
+            Weights::Live => {}
+        }
+        match (asked, self.terms.ask_within.is_some()) {
+            (true, false) => self.asking = Asking::new(false, false, now),
+            (false, true) => {
+                // Danger: a fleet is told its settings together, and would ask in step.
+                let at = now + list_spread(&self.terms).times(self.chance());
+                self.asking = Asking::new(true, false, at);
+                port.wake_at(at, ASK);
+            }
+            _ => {}
+        }
+    }
+
+    fn learn_sizes(&mut self, legacy: &Legacy) {
+        for (of, size) in legacy.hosts.iter().filter_map(|of| Some((of, of.nominal?))) {
+            if let Some(host) = self.host_no.get(&of.host).copied() {
+                let to = &mut self.hosts[host];
+                let weight = to.nominal.0 / (1.0 + to.told_held.unwrap_or(0.0));
+                to.nominal = Size(to.nominal.0.max(size.0));
+                to.told_held = Some(to.nominal.0 / weight.max(1e-6) - 1.0);
+            }
+        }
+        self.sizes.know(&self.hosts);
+    }
+
     /// What the next process has to know to go on from here.
     pub fn legacy(&self) -> Legacy {
         let open = self.calls.iter().filter_map(|(_, held)| held.call.subject.zip(held.load));
@@ -26,6 +70,9 @@
     pub fn inherit(&mut self, legacy: &Legacy) {
         let known = legacy.hosts.iter().filter_map(|of| Some((*self.host_no.get(&of.host)?, of)));
         known.for_each(|(host, of)| self.hosts[host].inherit(of, self.now));
+        if self.terms.weights == Weights::Live {
+            self.learn_sizes(legacy);
+        }
         legacy.loads.iter().for_each(|(subject, load)| self.remembered.keep(Some(*subject), Some(*load)));
         self.rates.inherit(&mut self.loads, legacy);
         // Past the time in which means are those of all seconds so far.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -16,7 +16,7 @@
 
 const SECOND: Token = Token(0);
 const HELD: Token = Token(1);
-const ASK: Token = Token(2);
+pub(crate) const ASK: Token = Token(2);
 
 /// What a host pays once for a group, in connections. What it is nobody tells: tried from 1 to 9.
 const GROUP: f64 = 5.0;
@@ -63,28 +63,30 @@
 /// Danger: nodes that start or lose their watch together ask together, and the list's service never catches
 /// up: of 70 nodes that came back 66 heard nothing for the rest of the day. Many spread their questions over
 /// two fifths of the time in which each has to ask; a fifth and three fifths were within the noise.
-fn list_spread(terms: &Terms) -> Span {
+pub(crate) fn list_spread(terms: &Terms) -> Span {
     terms.ask_within.map_or(Span::ZERO, |within| within.times(0.4 * terms.many()))
 }
 
+/// Danger: choosing by revenue alone starves the type that earns least. The more the worst-served type weighs,
+/// the less revenue counts.
+pub(crate) fn weighed(mut terms: Terms) -> Terms {
+    terms.traffic.iter_mut().for_each(|of| of.revenue = of.revenue.powf(terms.whole_weight));
+    terms
+}
+
 impl Node {
-    pub fn start(mut terms: Terms, seed: u64, now: Time, port: &mut dyn Port) -> Node {
-        let mut rng = WyRand::new_seed(seed);
+    pub fn start(terms: Terms, seed: u64, now: Time, port: &mut dyn Port) -> Node {
+        let (terms, mut rng) = (weighed(terms), WyRand::new_seed(seed));
         // Nodes that start together tick at different moments, so that their moves do not coincide.
         let offset = Span::ms(1000).times(f64::from(rng.generate::<f32>()));
         port.wake_at(now + offset, SECOND);
         let asks = terms.ask_within.is_some();
-        // Danger: choosing by revenue alone starves the type that earns least. The more the worst-served type
-        // weighs, the less revenue counts.
-        for traffic in &mut terms.traffic {
-            traffic.revenue = traffic.revenue.powf(terms.whole_weight);
-        }
         let spread = list_spread(&terms).times(f64::from(rng.generate::<f32>()));
         let at_once = asks && spread == Span::ZERO;
-        if at_once {
-            port.follow_list();
-        } else if asks {
-            port.wake_at(now + spread, ASK);
+        match (asks, at_once) {
+            (_, true) => port.follow_list(),
+            (true, _) => port.wake_at(now + spread, ASK),
+            _ => {}
         }
         Node {
             rng,
@@ -908,7 +910,7 @@
         }
     }
 
-    fn chance(&mut self) -> f64 {
+    pub(crate) fn chance(&mut self) -> f64 {
         f64::from(self.rng.generate::<f32>())
     }
 
@@ -921,11 +923,8 @@
         if self.is_beyond_part(no) {
             return self.answer(no, port);
         }
-        if self.waiting.held.is_empty() || self.is_bound(no) {
-            self.pass_on(no, port)
-        } else {
-            self.hold(no, port)
-        }
+        let first = self.waiting.held.is_empty() || self.is_bound(no);
+        if first { self.pass_on(no, port) } else { self.hold(no, port) }
     }
 
     /// Danger: when much of a large fleet is lost or cold, its clients come again to the hosts that are left,
