--- a/src/rules.rs
+++ b/src/rules.rs
@@ -855,7 +855,7 @@
                     * self.rates.arrival
                     * (2.0 - self.terms.many());
                 // Danger: in a rush all nodes use theirs in full: 32 pushed a host over, each by one call.
-                let fill = (3.0 * self.calm()).clamp(0.67 * warmth, 1.0)
+                let fill = self.calm().max(0.67 * warmth)
                     * self.terms.many()
                     * self.rates.held
                     * self.warming_fill(host);
