--- a/src/rules.rs
+++ b/src/rules.rs
@@ -67,7 +67,7 @@
     terms.ask_within.map_or(Span::ZERO, |within| within.times(0.4 * terms.many()))
 }
 
-/// Danger: choosing by revenue alone starves the type that earns least. The more the worst-served type weighs,
+/// Danger: choosing by revenue alone starves the type that earns least. The more the worst-served one weighs,
 /// the less revenue counts.
 pub(crate) fn weighed(mut terms: Terms) -> Terms {
     terms.traffic.iter_mut().for_each(|of| of.revenue = of.revenue.powf(terms.whole_weight));
