What clients come back to is kept by two others and told at once when a node is gone

Need: what a node knows of its clients went with it (issue on work in hand). So it goes by the end of links, as hints.

A greeting says whether a peer speaks of it, so the version before is not told. Off without [work]. Rig: clients that stay, groups and loads at hosts, estate-figures.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -87,6 +87,7 @@
     ease_every: Span,
     easing: bool,
     pub work: Option<crate::work::Work>,
+    pub estate: Option<crate::estate::Estate>,
 }
 
 impl Membership {
@@ -190,6 +191,10 @@
                     longest_ms,
                 )
             }),
+            estate: terms.charter.work.as_ref().map(|_| {
+                // Nothing is known before the first list.
+                crate::estate::Estate::new(self.now, start, name.clone(), life)
+            }),
             most_links: 2 * voters + if is_voter { 2 * terms.charter.units.len() } else { 0 },
         }));
         self.inherit_work();
@@ -325,6 +330,7 @@
         let facts = self.facts();
         self.tell_fleet(|fleet, now| fleet.tick(now, facts));
         self.work_tick();
+        self.estate_tick();
         self.ready_now();
     }
 
@@ -560,6 +566,9 @@
         if let Some(work) = &membership.work {
             status["work"] = work.figures(self.moment());
         }
+        if let Some(estate) = &membership.estate {
+            status["estates"] = estate.figures();
+        }
         status
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 mod config;
 mod conn;
 mod deadlines;
+mod estate;
 mod figures;
 mod fleet;
 mod handover;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,13 +1,14 @@
 //! Links to other nodes of the fleet: frames over TCP, each node dialling the voters. A peer that is slow, silent or
 //! says what cannot be read loses its link and gets another; nobody waits for it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::os::fd::OwnedFd;
 
 use glendeck::domain::{Span, Time};
 use glendeck_fleet::charter::UnitName;
 use glendeck_fleet::message::{Envelope, Hello, VERSION};
 use glendeck_takeover::Word;
+use glendeck_takeover::estate::Said;
 use nanorand::Rng;
 use rustix::io::Errno;
 use rustix::net::{self, SocketFlags};
@@ -39,14 +40,21 @@
     Letter(Box<Envelope>),
     /// All of one turn's.
     Words(Vec<Word>),
+    /// To those alone whose greeting says that they speak of estates.
+    Estate(Said),
 }
 
+/// Follows the greeting: 1, speaks of estates. Danger: in a rolling release nodes of the version before end a link that
+/// brings what they cannot read; these read no further than the greeting, and send nothing after it.
+const SPEAKS: u32 = 1;
+
 struct Link {
     /// Whom it leads to, once that has been said.
     peer: Option<UnitName>,
     /// Dialled from here, to this peer.
     dialled: Option<UnitName>,
     heard: Time,
+    speaks: u32,
 }
 
 #[derive(Default)]
@@ -73,6 +81,12 @@
         self.links.len()
     }
 
+    /// Who has a link to this node and speaks of estates.
+    pub fn speakers(&self) -> BTreeSet<UnitName> {
+        let speaks = self.links.values().filter(|link| link.speaks >= 1);
+        speaks.filter_map(|link| link.peer.clone()).collect()
+    }
+
     fn link_to(&self, peer: &UnitName) -> Option<ConnId> {
         let up = |conn: &ConnId| self.links.get(conn).is_some_and(|link| link.peer.is_some());
         let dialled = self.dials.get(peer).and_then(|dial| dial.conn).filter(up);
@@ -80,6 +94,16 @@
     }
 }
 
+fn write_greeting(hello: Hello) -> Vec<u8> {
+    postcard::to_stdvec(&(hello, SPEAKS)).unwrap_or_default()
+}
+
+/// The version before this one says nothing after it.
+fn read_greeting(bytes: &[u8]) -> Option<(Hello, u32)> {
+    let (hello, rest) = postcard::take_from_bytes::<Hello>(bytes).ok()?;
+    Some((hello, if rest.is_empty() { 0 } else { postcard::from_bytes(rest).ok()? }))
+}
+
 fn frame(bytes: &[u8], out: &mut Vec<u8>) {
     out.extend_from_slice(&(bytes.len() as u32).to_le_bytes());
     out.extend_from_slice(bytes);
@@ -112,7 +136,7 @@
                         continue;
                     }
                     if let Some(id) = self.add_conn(Conn::new(fd, false), Role::Peer) {
-                        let link = Link { peer: None, dialled: None, heard: self.now };
+                        let link = Link { peer: None, dialled: None, heard: self.now, speaks: 0 };
                         self.links_mut(|links| drop(links.insert(id, link)));
                     }
                 }
@@ -137,7 +161,7 @@
             name: membership.name.clone(),
             life: membership.life,
         };
-        postcard::to_stdvec(&hello).unwrap_or_default()
+        write_greeting(hello)
     }
 
     /// Dials whom it has no link to, and ends links that have gone silent.
@@ -174,7 +198,7 @@
         dial.conn = id;
         dial.next = now + dial.wait.times(0.5 + f64::from(membership.chance.generate::<f32>()) / 2.0);
         let Some(id) = id else { return };
-        let link = Link { peer: None, dialled: Some(peer.clone()), heard: now };
+        let link = Link { peer: None, dialled: Some(peer.clone()), heard: now, speaks: 0 };
         membership.peers.links.insert(id, link);
         let hello = self.hello();
         if let Some(seat) = self.conns.get_mut(id.0) {
@@ -231,18 +255,19 @@
 
     /// The first frame of a link says who is at its other end.
     fn greeted(&mut self, id: ConnId, bytes: &[u8]) {
-        let hello = postcard::from_bytes::<Hello>(bytes).ok().filter(|hello| hello.version == VERSION);
+        let hello = read_greeting(bytes).filter(|(hello, _)| hello.version == VERSION);
         let Some(membership) = &mut self.membership else { return };
         let Some(link) = membership.peers.links.get_mut(&id) else { return };
-        let known = hello.filter(|hello| {
+        let known = hello.filter(|(hello, _)| {
             let expected = link.dialled.as_ref().is_none_or(|peer| *peer == hello.name);
             expected && hello.group == membership.group && hello.name != membership.name
         });
-        let Some(hello) = known else {
+        let Some((hello, speaks)) = known else {
             debug!("a peer of another fleet, name or version");
             return self.peer_lost(id);
         };
         link.peer = Some(hello.name.clone());
+        link.speaks = speaks;
         let answers = link.dialled.is_none();
         if let Some(dial) = membership.peers.dials.get_mut(&hello.name)
             && !answers
@@ -264,6 +289,7 @@
         match postcard::take_from_bytes::<Frame>(bytes) {
             Ok((Frame::Letter(envelope), [])) => self.peer_said(peer, *envelope),
             Ok((Frame::Words(words), [])) => self.peer_keeps(peer, words),
+            Ok((Frame::Estate(said), [])) => self.peer_told(peer, said),
             Ok(_) => {
                 warn!(%peer, "a letter has more than its end");
                 self.peer_lost(id);
@@ -300,3 +326,24 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn greetings_are_read_by_the_version_before_and_after() {
+        let hello = || Hello {
+            version: VERSION,
+            group: "g".into(),
+            name: UnitName("n1".into()),
+            life: glendeck_fleet::state::Life(7),
+        };
+        let before = postcard::to_stdvec(&hello()).unwrap();
+        assert_eq!(read_greeting(&before), Some((hello(), 0)));
+        assert_eq!(read_greeting(&write_greeting(hello())), Some((hello(), SPEAKS)));
+        // As the version before reads it.
+        assert_eq!(postcard::from_bytes::<Hello>(&write_greeting(hello())).ok(), Some(hello()));
+        assert_eq!(read_greeting(&before[..before.len() - 1]), None);
+    }
+}
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -947,6 +947,10 @@
         self.node.as_ref().map(|node| node.legacy())
     }
 
+    pub fn estate_of_node(&self, most: usize) -> glendeck::domain::Estate {
+        self.node.as_ref().map(|node| node.estate(most)).unwrap_or_default()
+    }
+
     /// Whether the decisions keep away from a host now.
     pub fn avoids(&self, host: HostId) -> bool {
         self.node.as_ref().is_some_and(|node| node.avoids(host))
--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -77,6 +77,10 @@
         }
     }
 
+    pub fn view(&self) -> &View {
+        self.takeover.view()
+    }
+
     pub fn figures(&self, now: Moment) -> Value {
         let Counts { kept, unkept, looked, taken_over, given_up, raced } = self.counts;
         json!({
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -13,6 +13,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
+use crate::agencies::Homes;
 use crate::clients::Clients;
 use crate::links::{Links, Way};
 use crate::stand_ins::{Effects, Host, Legs, List, WINDOW_MS};
@@ -65,6 +66,8 @@
     legs: Legs,
     /// What hosts did for each work that is not to be done twice.
     pub effects: Effects,
+    /// What hosts saw of clients' groups.
+    pub homes: Homes,
     nodes: Nodes,
     doors: Vec<SocketAddr>,
     folder: PathBuf,
@@ -77,7 +80,7 @@
     json!({
         "caps": {"connectTimeoutMs": 200.0, "maxLegs": 4, "mayCancel": true, "mayProbe": true, "retryAfter": true,
                  "maxRetryAfterMs": 900.0},
-        "dcs": ["here"], "extra": {"groups": false, "messageAimMs": [100.0]}, "fleetSize": nodes, "me": me,
+        "dcs": ["here"], "extra": {"groups": true, "messageAimMs": [100.0]}, "fleetSize": nodes, "me": me,
         "membershipMode": "on_request", "myZone": 0, "projects": [{"name": "one"}],
         "safety": {"askWithinMs": 10000.0, "coldFrom": 0.2, "fallMs": 1000.0, "fallMultiple": 4.0,
                    "warmAfterMs": 20000.0},
@@ -120,8 +123,9 @@
         std::fs::create_dir_all(&folder)?;
         std::fs::write(folder.join("fleet.toml"), charter(&shape))?;
         let legs = Legs::default();
-        let effects = Effects::default();
-        let hosts = (0..shape.hosts).map(|at| Host::start(&format!("h{at}"), at % 2, &legs, &effects));
+        let (effects, homes) = (Effects::default(), Homes::default());
+        let hosts =
+            (0..shape.hosts).map(|at| Host::start(&format!("h{at}"), at % 2, &legs, &effects, &homes));
         let hosts = hosts.collect::<Result<Vec<_>, _>>()?;
         let list = List::start(&hosts)?;
         let (mut reserved, mut places) = (Vec::new(), Vec::new());
@@ -167,6 +171,7 @@
             links,
             legs,
             effects,
+            homes,
             nodes: Arc::new(Mutex::new((0..shape.nodes).map(fresh).collect())),
             doors: places.iter().map(|place| place[1]).collect(),
             folder,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,12 +1,14 @@
 //! For development: a fleet of real processes on loopback. Hosts, the list's service, the front and its clients are
 //! stand-ins; a proxy sits on every link between nodes. What is true is judged by what the stand-ins saw.
 
+mod agencies;
 mod clients;
 mod fleet;
 mod links;
 mod stand_ins;
 mod workers;
 
+pub use agencies::{Agencies, Groups};
 pub use clients::{Clients, Seen};
 pub use fleet::{Fleet, Reply, Shape};
 pub use links::{Links, Way};
--- a/crates/rig/src/links.rs
+++ b/crates/rig/src/links.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -44,6 +44,7 @@
 #[derive(Clone, Default)]
 pub struct Links {
     lanes: Lanes,
+    dials: Arc<AtomicU64>,
 }
 
 impl Links {
@@ -62,9 +63,10 @@
     pub fn between(&self, from: usize, to: usize, address: SocketAddr) -> std::io::Result<SocketAddr> {
         let listener = loopback()?;
         let at = listener.local_addr()?;
-        let (there, back) = (self.lane(from, to), self.lane(to, from));
+        let (there, back, dials) = (self.lane(from, to), self.lane(to, from), self.dials.clone());
         spawn(move || {
             for near in listener.incoming().flatten() {
+                dials.fetch_add(1, Ordering::Relaxed);
                 // One that is refused is reset, as it would have been without us.
                 let Ok(far) = TcpStream::connect(address) else {
                     let _ = set_socket_linger(&near, Some(Duration::ZERO));
@@ -81,6 +83,11 @@
         Ok(at)
     }
 
+    /// Connections that nodes have opened to each other so far.
+    pub fn dials(&self) -> u64 {
+        self.dials.load(Ordering::Relaxed)
+    }
+
     pub fn set(&self, from: usize, to: usize, way: Way) {
         let lane = self.lane(from, to);
         let before = Way::of(lane.way.swap(way as u8, Ordering::Relaxed));
--- a/crates/rig/src/stand_ins.rs
+++ b/crates/rig/src/stand_ins.rs
@@ -9,6 +9,7 @@
 
 use serde_json::{Value, json};
 
+use crate::agencies::{Homes, group_of, load_of};
 use crate::{loopback, spawn};
 
 /// Which legs hosts were sent, by the call's id: where, and how many.
@@ -64,20 +65,37 @@
 impl Host {
     /// # Errors
     /// No socket is granted.
-    pub fn start(name: &str, cell: usize, legs: &Legs, effects: &Effects) -> std::io::Result<Host> {
+    pub fn start(
+        name: &str,
+        cell: usize,
+        legs: &Legs,
+        effects: &Effects,
+        homes: &Homes,
+    ) -> std::io::Result<Host> {
         let listener = loopback()?;
         let address = listener.local_addr()?;
         let (legs, effects, seen) = (legs.clone(), effects.clone(), Arc::new(Seen::default()));
+        let (homes, of) = (homes.clone(), name.to_owned());
         let host = Host { name: name.to_owned(), address, cell, seen: seen.clone() };
         spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (legs, effects, seen) = (legs.clone(), effects.clone(), seen.clone());
+                let (homes, of) = (homes.clone(), of.clone());
                 spawn(move || {
-                    let mut opened = false;
-                    let _ = serve(stream, cell, (&legs, &effects), &seen, &mut opened);
+                    let (mut opened, mut group) = (false, None);
+                    let _ = serve(
+                        stream,
+                        (&of, cell),
+                        (&legs, &effects, &homes),
+                        &seen,
+                        (&mut opened, &mut group),
+                    );
                     if opened {
                         seen.open.fetch_sub(1, Ordering::SeqCst);
                     }
+                    if let (Some(group), Ok(mut homes)) = (group, homes.lock()) {
+                        homes.closed(&of, group);
+                    }
                 });
             }
         });
@@ -92,10 +110,10 @@
 
 fn serve(
     stream: TcpStream,
-    cell: usize,
-    (legs, effects): (&Legs, &Effects),
+    (host, cell): (&str, usize),
+    (legs, effects, homes): (&Legs, &Effects, &Homes),
     seen: &Seen,
-    opened: &mut bool,
+    (opened, group): (&mut bool, &mut Option<u64>),
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let (mut reader, mut writer) = (BufReader::new(stream.try_clone()?), stream);
@@ -123,6 +141,15 @@
                         Way::Busy => return writer.write_all(b"BUSY\r\n"),
                     }
                 }
+                if let Some(of) = group_of(list) {
+                    if let Ok(mut homes) = homes.lock() {
+                        homes.opened(host, of, key);
+                    }
+                    *group = Some(of);
+                    writer.write_all(format!("UP {id}\r\nLOAD {}\r\n", load_of(key)).as_bytes())?;
+                    line.clear();
+                    continue;
+                }
                 writer.write_all(format!("UP {id}\r\n").as_bytes())?;
             }
             _ => writer.write_all(line.as_bytes())?,
--- a/crates/rig/tests/processes.rs
+++ b/crates/rig/tests/processes.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use glendeck_rig::{Did, Ended, Fleet, Shape, Way, Workers};
+use glendeck_rig::{Agencies, Did, Ended, Fleet, Shape, Way, Workers};
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use test_case::test_case;
@@ -15,6 +15,9 @@
 struct Run {
     fleet: Fleet,
     workers: Option<Workers>,
+    agencies: Option<Agencies>,
+    /// How many lost nodes' clients each node had expected.
+    expected: Vec<u64>,
     /// Works are to have been done twice: the checker sees it.
     twice: bool,
     asked: Instant,
@@ -79,6 +82,15 @@
         self.asked = Instant::now();
     }
 
+    fn expected(&self, at: usize) -> Option<u64> {
+        self.fleet.status(at)?["estates"]["lost_expected"].as_u64()
+    }
+
+    fn all_stand(&self) {
+        let Some(agencies) = &self.agencies else { return };
+        until("all clients stand", PATIENCE, || agencies.up() == agencies.count);
+    }
+
     fn course(&self) -> Option<(u64, String)> {
         let status = self.fleet.status(self.fleet.leader()?)?;
         let release = &status["state"]["release"];
@@ -139,6 +151,28 @@
             ["works", count] => {
                 self.workers = Some(Workers::start(&self.fleet.clients, count.parse().unwrap(), 7));
             }
+            ["agencies", count, groups] => {
+                let (count, groups) = (count.parse().unwrap(), groups.parse().unwrap());
+                self.agencies =
+                    Some(Agencies::start(&self.fleet.clients, &self.fleet.homes, count, groups, 9));
+                self.all_stand();
+            }
+            ["stand"] => self.all_stand(),
+            // What each node has heard of lost ones, by its own word.
+            ["marked"] => {
+                let nodes = 0..self.fleet.shape.nodes;
+                self.expected = nodes.map(|at| self.expected(at).unwrap_or_default()).collect();
+            }
+            ["expect", count, units @ ..] => {
+                let count: u64 = count.parse().unwrap();
+                for unit in units {
+                    let at = self.node(unit);
+                    let all = self.expected[at] + count;
+                    until(&format!("{unit} expects {count}"), Duration::from_millis(1_500), || {
+                        self.expected(at) == Some(all)
+                    });
+                }
+            }
             // Works that are served go on being so, within so many seconds.
             ["worked", count, "within", most] => {
                 let up = || self.workers.as_ref().map_or(0, |workers| workers.ended.lock().unwrap().up);
@@ -254,6 +288,13 @@
             ["stall", rest @ ..] => self.link(Way::Stalled, rest),
             ["slow", rest @ ..] => self.link(Way::Slow, rest),
             ["trickle", rest @ ..] => self.link(Way::Trickle, rest),
+            // Whoever has a link dials no other.
+            ["dials", most, long] => {
+                let before = self.fleet.links.dials();
+                std::thread::sleep(seconds(long));
+                let dials = self.fleet.links.dials() - before;
+                assert!(dials <= most.parse().unwrap(), "{dials} dials in {long} s");
+            }
             ["reset", one] => {
                 let at = self.node(one);
                 for other in (0..self.fleet.shape.nodes).filter(|other| *other != at) {
@@ -380,6 +421,9 @@
                 "works: up {up} ({up_again} again), released {released}, busy {busy}, unanswered {unanswered}"
             );
         }
+        if let Some(agencies) = &self.agencies {
+            agencies.end();
+        }
         let seen = self.fleet.clients.end();
         assert!(seen.lost.is_empty(), "lost: {:#?}", seen.lost);
         assert!(
@@ -418,6 +462,7 @@
 #[test_case("unkept"; "without keepers the same is done twice, and seen to be")]
 #[test_case("clocks"; "wall clocks that are apart and step change nothing")]
 #[test_case("handed"; "keepers hand on what they hold when they end as planned")]
+#[test_case("estates"; "what clients come back to is kept by others")]
 #[test_case("links"; "links that are slow, one-way, stalled, flapping or resetting")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
@@ -448,7 +493,15 @@
                     logs: std::env::var_os("RIG_LOGS").map(|logs| PathBuf::from(logs).join(name)),
                 };
                 let fleet = Fleet::start(shape).unwrap();
-                run = Some(Run { fleet, workers: None, twice: false, asked: Instant::now(), orders: 0 });
+                run = Some(Run {
+                    fleet,
+                    workers: None,
+                    agencies: None,
+                    expected: vec![],
+                    twice: false,
+                    asked: Instant::now(),
+                    orders: 0,
+                });
             }
             words => {
                 println!("{name}.txt:{}: {line}", at + 1);
--- a/crates/takeover/src/lib.rs
+++ b/crates/takeover/src/lib.rs
@@ -4,6 +4,7 @@
 //! No I/O and no clock: a [`Takeover`] is told what happened and when, and says what is to be done. The same events give
 //! the same steps.
 
+pub mod estate;
 mod keeper;
 mod owner;
 pub mod plant;
@@ -72,12 +73,15 @@
     }
 }
 
+fn name_number(name: &UnitName) -> u64 {
+    name.0.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
+
 /// Rendezvous: FNV-1a over the name, mixed with the work (the finisher of splitmix64).
 fn rank(work: Work, name: &UnitName) -> u64 {
-    let of = name.0.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    });
-    let mut mixed = of ^ work.0.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mut mixed = name_number(name) ^ work.0.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     mixed ^ (mixed >> 31)
--- a/crates/takeover/src/plant.rs
+++ b/crates/takeover/src/plant.rs
@@ -22,6 +22,18 @@
     OpenTaken,
     /// The window in which hosts recall a reference counts from the repeat.
     WindowAnew,
+    /// What has changed is taken in whatever it changed from.
+    AnySince,
+    /// What a process says is added to what the one before said.
+    LivesMixed,
+    /// A keeper that missed something is never told all.
+    NeverWhole,
+    /// A word that comes late undoes what came after it.
+    LateCounts,
+    /// Both keepers' words count.
+    ToldTwice,
+    /// What is kept of a node that stays away never goes.
+    KeptForever,
 }
 
 #[cfg(feature = "planted")]
--- /dev/null
+++ b/crates/takeover/tests/estates.rs
@@ -0,0 +1,438 @@
+//! What nodes know, kept at others, over days of faults in simulated time. What is held against it is what each node knew
+//! at each moment.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+use glendeck_fleet::Moment;
+use glendeck_fleet::charter::UnitName;
+use glendeck_fleet::state::Life;
+use glendeck_takeover::View;
+use glendeck_takeover::estate::{Do, Estates, Facts, Known, Said, keepers_of};
+use glendeck_takeover::plant::{Plant, plant};
+use nanorand::{Rng, WyRand};
+use test_case::test_case;
+
+const NODES: usize = 6;
+const SEATS: usize = 3;
+/// A link that brings nothing is given up after so long, in ms.
+const SILENT: u64 = 3_500;
+/// This group stands for no group: its host counts what its node has said.
+const MARK: u64 = 999;
+
+enum Event {
+    Tick,
+    Said(usize, u64, usize, Said),
+    Fault(Fault),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Kill(usize),
+    Start(usize),
+    Part(usize),
+    /// Nothing comes through until then; or the link is reset.
+    Cut(usize, usize, u64),
+    Reset(usize, usize),
+}
+
+struct Node {
+    estates: Option<Estates>,
+    life: u64,
+    since: u64,
+    parting: bool,
+    next_tell: u64,
+    facts: Facts,
+    said: u64,
+}
+
+struct World {
+    now: u64,
+    seq: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    chance: WyRand,
+    nodes: Vec<Node>,
+    /// Until when a pair is cut, and since when its link has stood.
+    cuts: BTreeMap<(usize, usize), (u64, u64)>,
+    /// Of a hundred words: lost, said twice and late.
+    noise: [u64; 2],
+    history: BTreeMap<(usize, u64, u64), Facts>,
+    /// The last that a keeper was seen to have of a process.
+    marks: BTreeMap<(usize, u64, usize, u64), u64>,
+    told: BTreeMap<(usize, u64, usize, u64), u64>,
+    kills: Vec<(u64, usize, u64)>,
+    heard: u64,
+    broken: Option<String>,
+}
+
+fn name(at: usize) -> UnitName {
+    UnitName(format!("n{at}"))
+}
+
+fn number(of: &UnitName) -> usize {
+    of.0[1..].parse().unwrap()
+}
+
+fn view() -> View {
+    View { seats: (0..SEATS).map(name).collect(), hears: true, ..View::default() }
+}
+
+/// Of which process it is, and the so-manieth that it said.
+fn mark(facts: impl IntoIterator<Item = Known>) -> Option<(u64, u64)> {
+    facts.into_iter().find_map(|known| match known {
+        Known::Home { group, host } if group % 1_000 == MARK => Some((group / 1_000, host)),
+        _ => None,
+    })
+}
+
+fn pair(one: usize, other: usize) -> (usize, usize) {
+    (one.min(other), one.max(other))
+}
+
+impl World {
+    fn new(seed: u64, noise: [u64; 2], faults: Vec<(u64, Fault)>) -> World {
+        let fresh = |_| Node {
+            estates: None,
+            life: 0,
+            since: 0,
+            parting: false,
+            next_tell: 0,
+            facts: Facts::new(),
+            said: 0,
+        };
+        let mut world = World {
+            now: 90_000_000,
+            seq: 0,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            chance: WyRand::new_seed(seed),
+            nodes: (0..NODES).map(fresh).collect(),
+            cuts: BTreeMap::new(),
+            noise,
+            history: BTreeMap::new(),
+            marks: BTreeMap::new(),
+            told: BTreeMap::new(),
+            kills: Vec::new(),
+            heard: 0,
+            broken: None,
+        };
+        (0..NODES).for_each(|at| world.start(at));
+        faults.into_iter().for_each(|(at, fault)| world.at(at, Event::Fault(fault)));
+        world.at(0, Event::Tick);
+        world
+    }
+
+    fn drawn(seed: u64) -> World {
+        let mut chance = WyRand::new_seed(seed ^ 0xe57a7e);
+        let mut roll = |below: u64| chance.generate_range(0..below);
+        let mut faults = Vec::new();
+        for _ in 0..3 + roll(10) {
+            let (at, one, other) =
+                (8_000 + roll(40_000), roll(NODES as u64) as usize, roll(NODES as u64) as usize);
+            match roll(6) {
+                0 => faults.push((at, Fault::Part(one))),
+                1 if one != other => faults.push((at, Fault::Cut(one, other, 500 + roll(8_000)))),
+                2 if one != other => faults.push((at, Fault::Reset(one, other))),
+                _ => {
+                    faults.push((at, Fault::Kill(one)));
+                    faults.push((at + [200, 1_000, 9_000][roll(3) as usize], Fault::Start(one)));
+                }
+            }
+        }
+        let noise = if seed.is_multiple_of(2) { [0, 0] } else { [roll(10), roll(10)] };
+        World::new(seed, noise, faults)
+    }
+
+    fn roll(&mut self, below: u64) -> u64 {
+        self.chance.generate_range(0..below)
+    }
+
+    fn at(&mut self, ms: u64, event: Event) {
+        self.seq += 1;
+        self.queue.push(Reverse((self.now + ms, self.seq)));
+        self.events.insert(self.seq, event);
+    }
+
+    fn moment(&self) -> Moment {
+        Moment(self.now * 1_000_000)
+    }
+
+    fn break_rule(&mut self, text: String) {
+        let at = self.now - 90_000_000;
+        self.broken.get_or_insert(format!("at {at} ms: {text}"));
+    }
+
+    fn start(&mut self, at: usize) {
+        if self.nodes[at].estates.is_some() {
+            return;
+        }
+        let (moment, first) = (self.moment(), self.now + self.roll(1_000));
+        let node = &mut self.nodes[at];
+        node.life += 1;
+        let life = Life(node.life * 10 + at as u64);
+        node.estates = Some(Estates::new(moment, name(at), life));
+        (node.since, node.parting, node.next_tell) = (self.now, false, first);
+        (node.facts, node.said) = (Facts::new(), 0);
+    }
+
+    /// As a node sees it: a cut shows when the link has been silent for long.
+    fn linked(&self, at: usize, to: usize) -> bool {
+        let cut = self.cuts.get(&pair(at, to)).copied().unwrap_or_default();
+        let seen = cut.0 <= self.now || self.now < cut.1 + SILENT;
+        at != to
+            && (at < SEATS || to < SEATS)
+            && self.nodes[to].estates.is_some()
+            && self.now >= cut.1
+            && seen
+    }
+
+    fn links(&self, at: usize) -> BTreeSet<UnitName> {
+        (0..NODES).filter(|to| self.linked(at, *to)).map(name).collect()
+    }
+
+    fn run(&mut self, ms: u64) {
+        let until = self.now + ms;
+        while let Some(Reverse((at, seq))) = self.queue.peek().copied().filter(|of| of.0.0 <= until) {
+            self.queue.pop();
+            self.now = at;
+            match self.events.remove(&seq) {
+                Some(Event::Tick) => self.tick(),
+                Some(Event::Said(to, life, from, said)) if self.nodes[to].life == life => {
+                    let moment = self.moment();
+                    let Some(estates) = &mut self.nodes[to].estates else { continue };
+                    let acts = estates.heard(moment, &name(from), said, &view());
+                    self.act(to, acts);
+                }
+                Some(Event::Fault(fault)) => self.strike(fault),
+                _ => {}
+            }
+        }
+        self.now = until;
+    }
+
+    fn strike(&mut self, fault: Fault) {
+        match fault {
+            Fault::Kill(at) => {
+                let node = &mut self.nodes[at];
+                if node.estates.take().is_some() && !node.parting && self.now > node.since + 7_000 {
+                    self.kills.push((self.now, at, node.life));
+                }
+            }
+            Fault::Start(at) => self.start(at),
+            Fault::Part(at) => self.nodes[at].parting = true,
+            Fault::Cut(one, other, ms) => drop(self.cuts.insert(pair(one, other), (self.now + ms, self.now))),
+            // It is back within a tenth of a second.
+            Fault::Reset(one, other) => drop(self.cuts.insert(pair(one, other), (0, self.now + 100))),
+        }
+    }
+
+    fn tick(&mut self) {
+        let moment = self.moment();
+        for at in 0..NODES {
+            let (linked, tells) = (self.links(at), self.now >= self.nodes[at].next_tell);
+            if self.nodes[at].estates.is_none() {
+                continue;
+            }
+            let mut acts = Vec::new();
+            if tells {
+                self.learn(at);
+                let node = &mut self.nodes[at];
+                node.next_tell = self.now + 1_000;
+                if let Some(estates) = &mut node.estates {
+                    acts = estates.tell(moment, node.facts.clone(), node.parting, &view(), &linked);
+                }
+            }
+            if let Some(estates) = &mut self.nodes[at].estates {
+                acts.extend(estates.tick(moment, &linked));
+            }
+            self.act(at, acts);
+        }
+        self.check_keepers();
+        self.check_kills();
+        self.at(100, Event::Tick);
+    }
+
+    fn learn(&mut self, at: usize) {
+        for _ in 0..self.roll(4) {
+            let (life, which, load) = (self.nodes[at].life, self.roll(20), self.roll(900) as u32);
+            let known = match self.roll(2) {
+                0 => Known::Home { group: life * 1_000 + which, host: which % 5 },
+                _ => Known::Load { subject: life * 1_000 + which },
+            };
+            let gone = self.roll(3) == 0;
+            let facts = &mut self.nodes[at].facts;
+            let _ = if gone { facts.remove(&known) } else { facts.insert(known, load) };
+        }
+        let node = &mut self.nodes[at];
+        let marked = |life, host| Known::Home { group: life * 1_000 + MARK, host };
+        node.facts.remove(&marked(node.life, node.said));
+        node.said += 1;
+        node.facts.insert(marked(node.life, node.said), 1);
+        self.history.insert((at, node.life, node.said), node.facts.clone());
+    }
+
+    fn act(&mut self, at: usize, acts: Vec<Do>) {
+        for act in acts {
+            match act {
+                Do::Say(to, said) => self.send(at, number(&to), said),
+                Do::Expect(of, facts) => {
+                    let of = number(&of);
+                    let facts: Facts = facts.into_iter().collect();
+                    let Some((life, said)) = mark(facts.keys().copied()) else {
+                        self.break_rule(format!("n{at} is told of n{of} what nobody said"));
+                        continue;
+                    };
+                    self.heard += 1;
+                    self.check_whole(at, of, &facts);
+                    let mine = (at, self.nodes[at].life, of, life);
+                    if self.told.get(&mine).is_some_and(|before| self.now < before + 10_000) {
+                        self.break_rule(format!("n{at} is told twice of n{of}, said {said}"));
+                    }
+                    self.told.insert(mine, self.now);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, said: Said) {
+        let [lost, twice] = self.noise;
+        let cut = self.cuts.get(&pair(from, to)).copied().unwrap_or_default();
+        if !self.linked(from, to) || self.now < cut.0 {
+            return;
+        }
+        let (ms, life) = (1 + self.roll(5), self.nodes[to].life);
+        if self.roll(100) < twice {
+            let later = ms + self.roll(2_500);
+            self.at(later, Event::Said(to, life, from, said.clone()));
+        }
+        if self.roll(100) >= lost {
+            self.at(ms, Event::Said(to, life, from, said));
+        }
+    }
+
+    // What has to hold.
+
+    /// It is what one process knew at one moment, whole.
+    fn check_whole(&mut self, at: usize, of: usize, facts: &Facts) {
+        let was = mark(facts.keys().copied()).and_then(|(life, said)| self.history.get(&(of, life, said)));
+        if was != Some(facts) {
+            self.break_rule(format!("n{at} has of n{of} what it never knew at one moment: {facts:?}"));
+        }
+    }
+
+    fn check_keepers(&mut self) {
+        for at in 0..SEATS {
+            for of in 0..NODES {
+                let Some(estates) = &self.nodes[at].estates else { continue };
+                let kept = estates.kept(&name(of)).cloned();
+                if let Some(facts) = &kept {
+                    self.check_whole(at, of, facts);
+                }
+                let had = kept.and_then(|facts| mark(facts.keys().copied()));
+                if let Some((life, said)) = had {
+                    let mine = (at, self.nodes[at].life, of, life);
+                    let before = self.marks.insert(mine, said);
+                    if before.is_some_and(|before| before > said) {
+                        self.break_rule(format!("n{at} goes back from {before:?} to {said} of n{of}"));
+                    }
+                }
+                // In peace a keeper has what was said within the last two seconds, once it has had time to hear all.
+                let (one, other) = (&self.nodes[at], &self.nodes[of]);
+                let quiet = self.now > one.since.max(other.since) + 7_000
+                    && self.cuts.get(&pair(at, of)).is_none_or(|cut| self.now > cut.0.max(cut.1) + 7_000);
+                let keeps = keepers_of(&view(), &name(of)).contains(&name(at));
+                let well = self.noise == [0, 0] && quiet && keeps && other.estates.is_some();
+                if well && had.is_none_or(|(life, said)| life != other.life || said + 2 < other.said) {
+                    let (life, said) = (other.life, other.said);
+                    self.break_rule(format!("n{at} has {had:?} of n{of}, whose process {life} said {said}"));
+                }
+            }
+        }
+    }
+
+    /// Everybody who is linked to a keeper of it is told of a node that was killed, in time to be of use.
+    fn check_kills(&mut self) {
+        let due: Vec<_> = self.kills.iter().copied().filter(|kill| self.now >= kill.0 + 600).collect();
+        self.kills.retain(|kill| self.now < kill.0 + 600);
+        let quiet = |since: u64, at: u64| since + 8_000 < at;
+        for (killed, of, life) in due {
+            // Back within that, or an uneasy time: nothing is asked.
+            let uneasy = self.noise != [0, 0]
+                || self.nodes[of].estates.is_some()
+                || self.nodes[of].life != life
+                || self.cuts.values().any(|cut| !quiet(cut.0.max(cut.1), killed));
+            let keeper = keepers_of(&view(), &name(of))
+                .iter()
+                .map(number)
+                .find(|at| self.nodes[*at].estates.is_some() && quiet(self.nodes[*at].since, killed));
+            let Some(keeper) = keeper.filter(|_| !uneasy) else { continue };
+            for at in (0..NODES).filter(|at| *at != of) {
+                let node = &self.nodes[at];
+                let there = node.estates.is_some() && quiet(node.since, killed);
+                let told = self.told.contains_key(&(at, node.life, of, life));
+                if there && !told {
+                    self.break_rule(format!(
+                        "n{at} is not told of n{of}, killed at {killed}, which n{keeper} keeps"
+                    ));
+                }
+            }
+        }
+    }
+}
+
+fn play(seed: u64) -> World {
+    let mut world = World::drawn(seed);
+    world.run(60_000);
+    // All but one keeper end: what it keeps of them goes.
+    (1..NODES).for_each(|at| world.strike(Fault::Kill(at)));
+    world.start(0);
+    world.run(90_000);
+    let held = world.nodes[0].estates.as_ref().map(Estates::held);
+    if held != Some((0, 0)) {
+        world.break_rule(format!("n0 still keeps {held:?}"));
+    }
+    world
+}
+
+fn seeds() -> std::ops::Range<u64> {
+    let given = std::env::var("SEEDS").ok();
+    let given = given.as_deref().and_then(|text| text.split_once(".."));
+    given.and_then(|(from, to)| Some(from.parse().ok()?..to.parse().ok()?)).unwrap_or(0..1_200)
+}
+
+/// `SEEDS=from..to` plays others.
+#[test]
+fn drawn_days() {
+    let (seeds, heard) = (seeds(), std::sync::atomic::AtomicU64::new(0));
+    let threads = std::thread::available_parallelism().map_or(4, |n| n.get() as u64);
+    std::thread::scope(|scope| {
+        for first in 0..threads {
+            let (seeds, heard) = (seeds.clone(), &heard);
+            scope.spawn(move || {
+                for seed in seeds.filter(|seed| seed % threads == first) {
+                    let world = play(seed);
+                    assert_eq!(world.broken, None, "seed {seed}");
+                    heard.fetch_add(world.heard, std::sync::atomic::Ordering::Relaxed);
+                }
+            });
+        }
+    });
+    let heard = heard.into_inner();
+    println!("{seeds:?}: told of lost nodes {heard} times");
+    assert!(heard > 1_000);
+}
+
+#[test_case(Plant::AnySince; "changes taken in whatever they changed from")]
+#[test_case(Plant::LivesMixed; "two processes taken for one")]
+#[test_case(Plant::NeverWhole; "a keeper that missed something is not told all")]
+#[test_case(Plant::LateCounts; "a late word undoes a later one")]
+#[test_case(Plant::ToldTwice; "both keepers' words count")]
+#[test_case(Plant::KeptForever; "what is kept never goes")]
+fn planted(fault: Plant) {
+    plant(Some(fault));
+    let caught = (0..400).find_map(|seed| play(seed).broken.map(|why| (seed, why)));
+    plant(None);
+    println!("{fault:?}: {caught:?}");
+    assert!(caught.is_some(), "{fault:?} is not caught");
+}
--- a/src/book.rs
+++ b/src/book.rs
@@ -64,6 +64,8 @@
     pub all: i64,
     /// How alike they are as a rule.
     pub likeness: f64,
+    /// Homes that stand for a group of a lost node, and for how many seconds more.
+    kept: Vec<(u32, GroupId, usize)>,
 }
 
 impl Groups {
@@ -95,6 +97,30 @@
     pub fn weigh(&mut self, follow: f64) {
         let n = self.all as f64;
         self.likeness += (2.0 * self.pairs as f64 / (n * (n - 1.0)).max(1.0) - self.likeness) * follow;
+        self.kept.iter_mut().for_each(|kept| kept.0 -= 1);
+        while let Some(at) = self.kept.iter().position(|kept| kept.0 == 0) {
+            let (_, group, host) = self.kept.swap_remove(at);
+            self.count(Some(group), host, -1);
+        }
+    }
+
+    /// Each group's hosts by number, in no order: where connections of it are, not what a lost node had.
+    pub fn homes(&self) -> impl Iterator<Item = (GroupId, usize)> {
+        let there = |(group, of): (&GroupId, &OfGroup)| {
+            let group = *group;
+            let on: Vec<_> = of.on.iter().copied().enumerate().filter(|(_, on)| *on > 0).collect();
+            on.into_iter().map(move |(host, on)| (group, host, on))
+        };
+        self.held.iter().flat_map(there).filter_map(|(group, host, on)| {
+            let kept = self.kept.iter().filter(|kept| (kept.1, kept.2) == (group, host)).count();
+            (on as usize > kept).then_some((group, host))
+        })
+    }
+
+    /// A group that a lost node had there: the host stays its home for a while.
+    pub fn keep_home(&mut self, group: GroupId, host: usize, seconds: u32) {
+        self.kept.push((seconds, group, host));
+        self.count(Some(group), host, 1);
     }
 }
 
@@ -153,26 +179,42 @@
 
 /// Loads that connections had when they ended, of this half minute and the one before.
 #[derive(Default)]
-pub(crate) struct Remembered([FxHashMap<SubjectId, f64>; 2]);
+pub(crate) struct Remembered {
+    here: [FxHashMap<SubjectId, f64>; 2],
+    /// At nodes that were lost.
+    elsewhere: [FxHashMap<SubjectId, f64>; 2],
+}
 
 impl Remembered {
     pub fn load(&self, subject: SubjectId) -> Option<f64> {
-        self.0.iter().find_map(|loads| loads.get(&subject).copied())
+        self.here.iter().find_map(|loads| loads.get(&subject).copied())
+    }
+
+    /// Danger: a client whose load was known here is held to have left here, and limits do not widen for it. What a lost
+    /// node told says nothing of that: taken for the same, 11 calls in 10 s failed where 22 did (three nodes, groups).
+    pub fn left(&self, subject: SubjectId) -> Option<f64> {
+        self.elsewhere.iter().find_map(|loads| loads.get(&subject).copied())
     }
 
     pub fn keep(&mut self, subject: Option<SubjectId>, load: Option<f64>) {
         if let (Some(subject), Some(load)) = (subject, load) {
-            self.0[0].insert(subject, load);
+            self.here[0].insert(subject, load);
         }
     }
 
+    pub fn keep_left(&mut self, subject: SubjectId, load: f64) {
+        self.elsewhere[0].insert(subject, load);
+    }
+
     pub fn all(&self) -> impl Iterator<Item = (SubjectId, f64)> {
-        self.0.iter().flatten().map(|(subject, load)| (*subject, *load))
+        self.here.iter().flatten().map(|(subject, load)| (*subject, *load))
     }
 
     pub fn turn(&mut self) {
-        self.0.swap(0, 1);
-        self.0[0].clear();
+        for loads in [&mut self.here, &mut self.elsewhere] {
+            loads.swap(0, 1);
+            loads[0].clear();
+        }
     }
 }
 
--- a/src/domain.rs
+++ b/src/domain.rs
@@ -310,3 +310,12 @@
     pub usual_size: f64,
     pub setup: f64,
 }
+
+/// What a node that was lost had in hand, for those to whom its clients come.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Estate {
+    /// Hosts that had some of each group.
+    pub homes: Vec<(GroupId, HostId)>,
+    /// What clients' connections asked for, in seconds of work a second.
+    pub loads: Vec<(SubjectId, f64)>,
+}
--- a/src/renewal.rs
+++ b/src/renewal.rs
@@ -84,4 +84,32 @@
     pub fn elder_at(&mut self, host: Option<HostId>, n: f64) {
         self.hosts.iter_mut().filter(|to| host.is_none_or(|host| host == to.id)).for_each(|to| to.elder = n);
     }
+
+    /// What its clients come back to, should this node be lost: at most so much of each, of loads what is furthest from
+    /// what anybody would expect.
+    pub fn estate(&self, most: usize) -> Estate {
+        let mut homes: Vec<(GroupId, HostId)> =
+            self.groups.homes().map(|(group, host)| (group, self.hosts[host].id)).collect();
+        homes.sort_unstable();
+        homes.truncate(most);
+        let open = self.calls.iter().filter_map(|(_, held)| held.call.subject.zip(held.load));
+        // Heavy ones alone (over 1.5 times the mean) were worth as much, but for groups beside them: 0.876 for 0.883.
+        let odd = |load: f64| (load / self.loads.mean.max(1e-9) - 1.0).abs();
+        let told = self.remembered.all().chain(open).filter(|(_, load)| odd(*load) > 0.1);
+        let mut loads: Vec<(SubjectId, f64)> = told.collect();
+        loads.sort_unstable_by(|one, other| odd(other.1).total_cmp(&odd(one.1)).then(one.0.cmp(&other.0)));
+        loads.truncate(most);
+        Estate { homes, loads }
+    }
+
+    /// A node was lost, and its clients come to this one and others.
+    pub fn expect(&mut self, now: Time, estate: &Estate) {
+        self.now = now;
+        for (group, host) in &estate.homes {
+            if let Some(host) = self.host_no.get(host) {
+                self.groups.keep_home(*group, *host, 10);
+            }
+        }
+        estate.loads.iter().for_each(|(subject, load)| self.remembered.keep_left(*subject, *load));
+    }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -947,6 +947,7 @@
     fn take_in(&mut self, call: Call) -> usize {
         let load = call.load.or_else(|| self.remembered.load(call.subject?));
         let guest = call.returning && load.is_none();
+        let load = load.or_else(|| self.remembered.left(call.subject?));
         let ran = call.before.and_then(|(host, at)| Some((*self.host_no.get(&host)?, at)));
         let no = self.calls.insert(InHand { guest, ran, ..InHand::new(call, load, self.now) });
         self.call_no.insert(call.id, no);
