--- a/crates/rig/src/bin/takeover-figures.rs
+++ b/crates/rig/src/bin/takeover-figures.rs
@@ -44,6 +44,11 @@
     (nodes.clone().filter_map(cpu).sum(), nodes.filter_map(frames).sum())
 }
 
+fn bytes(fleet: &Fleet) -> u64 {
+    let sent = |at: usize| fleet.status(at)?["links"]["bytes_sent"].as_u64();
+    (0..fleet.shape.nodes).filter_map(sent).sum()
+}
+
 fn takes(fleet: &Fleet, at: usize) -> bool {
     fleet.clients.standing(at).is_some_and(|of| of.takes)
 }
@@ -58,6 +63,16 @@
     std::thread::sleep(REMEMBER);
     fleet.forgive();
     println!("{nodes} nodes, {voters} voters, {}", if work { "with keepers" } else { "without" });
+    let before = (spent(&fleet), bytes(&fleet));
+    std::thread::sleep(Duration::from_secs(10));
+    let (after, sent) = (spent(&fleet), bytes(&fleet) - before.1);
+    let each = 10.0 * nodes as f64;
+    println!(
+        "idle, a second and node: {:.2} ms of processor, {:.1} frames, {:.0} bytes",
+        (after.0 - before.0.0) as f64 / each,
+        (after.1 - before.0.1) as f64 / each,
+        sent as f64 / each
+    );
     let calm = Workers::start(&fleet.clients, 30, 3);
     let before = spent(&fleet);
     std::thread::sleep(Duration::from_secs(15));
@@ -75,11 +90,18 @@
     );
     let workers = Workers::start(&fleet.clients, 30, 5);
     std::thread::sleep(Duration::from_secs(1));
+    // Works served, released and turned away in the 10 s after each kill.
+    let ends = || workers.ended.lock().map(|of| [of.up, of.released, of.busy]).unwrap_or_default();
+    let mut after_kills = [0; 3];
     for round in 0..kills {
         let at = (round * 7 + 1) % nodes;
+        let (before, killed) = (ends(), Instant::now());
         fleet.kill(at);
         std::thread::sleep(Duration::from_millis(1_500));
         fleet.begin(at).map_err(|fault| fault.to_string())?;
+        std::thread::sleep(Duration::from_secs(10).saturating_sub(killed.elapsed()));
+        let after = ends();
+        (0..3).for_each(|of| after_kills[of] += after[of] - before[of]);
         wait("it serves again", || takes(&fleet, at))?;
         std::thread::sleep(REMEMBER);
         fleet.forgive();
@@ -91,6 +113,8 @@
         spread(again_ms),
         lost.len()
     );
+    let [served, released, busy] = after_kills;
+    println!("in the 10 s after each kill: {served} served, {released} released, {busy} turned away, in all");
     let effects = fleet.effects.lock().map_err(|fault| fault.to_string())?;
     let twice = effects.values().filter(|did| did.iter().filter(|did| did.anew).count() > 1).count();
     println!("works done at hosts: {}, done more than once: {twice}", effects.len());
--- a/crates/rig/tests/processes.rs
+++ b/crates/rig/tests/processes.rs
@@ -462,6 +462,7 @@
 #[test_case("unkept"; "without keepers the same is done twice, and seen to be")]
 #[test_case("clocks"; "wall clocks that are apart and step change nothing")]
 #[test_case("handed"; "keepers hand on what they hold when they end as planned")]
+#[test_case("keepers"; "keepers are lost, two, all, and with seven nodes in ten")]
 #[test_case("steady"; "whoever has a link dials no other")]
 #[test_case("estates"; "what clients come back to is kept by others")]
 #[test_case("links"; "links that are slow, one-way, stalled, flapping or resetting")]
