Legs beyond each call's first keep a budget, and a listed start that may be off is not trusted

Change: calls and further legs are counted in 21 slots of the span, legs over all slots that it reaches into, calls over those that lie in it whole, so any exact span holds; checked in the one place that sends legs; a call that may not go on is answered at once. A start counts as the latest that it can have been: when its line came, or as listed and off.

--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -5,7 +5,7 @@
 use std::fmt::Write;
 use std::str::FromStr;
 
-use glendeck::domain::{Effect, Scope, Span, Terms, Traffic, Warming, Weights, Zone};
+use glendeck::domain::{Effect, LegBudget, Scope, Span, Terms, Traffic, Warming, Weights, Zone};
 use rustc_hash::FxHashMap;
 use serde_json::Value;
 
@@ -143,6 +143,7 @@
         other => return Err(bad("membershipMode", other, "pushed or on_request")),
     };
     check_reports(pairs)?;
+    check_leave(pairs)?;
     let come_back = pairs.flag("caps.retryAfter")?.then(|| pairs.span("caps.maxRetryAfterMs")).transpose()?;
     Ok(Terms {
         traffic,
@@ -168,6 +169,8 @@
             multiple: pairs.number("safety.fallMultiple")?,
             window: pairs.span("safety.fallMs")?,
         },
+        leg_budget: leg_budget(pairs)?,
+        start_off: pairs.span_or("safety.startDriftMs", Span::ZERO)?,
         crossing_price: pairs.number_or("prices.crossZone", 0.0)?,
         whole_weight: match (
             pairs.number_or("scoreParts.whole", 1.0)?,
@@ -179,6 +182,27 @@
     })
 }
 
+/// What these allow the decisions do not use, but it has to make sense: nothing new goes to a host that is gone, drained or not,
+/// and an answer goes by the guard time as it was told.
+fn check_leave(pairs: &Pairs) -> Result<(), Fault> {
+    pairs.flag_or("safety.droppedStayOpen", false)?;
+    pairs.span_or("safety.budgetErrorMs", Span::ZERO)?;
+    Ok(())
+}
+
+/// All of it or nothing: a budget with a part missing would be another budget.
+fn leg_budget(pairs: &Pairs) -> Result<Option<LegBudget>, Fault> {
+    let keys = ["safety.budgetFree", "safety.repeatRatio", "safety.budgetSpanMs"];
+    if !keys.iter().any(|key| pairs.0.contains_key(*key)) {
+        return Ok(None);
+    }
+    let span = pairs.span(keys[2])?;
+    if span < Span::ms(1) {
+        return Err(bad(keys[2], pairs.text(keys[2])?, "a millisecond or more"));
+    }
+    Ok(Some(LegBudget { free: pairs.number(keys[0])?, part: pairs.number(keys[1])?, span }))
+}
+
 /// Load reports are not read by the decisions, but what is said of them has to make sense.
 fn check_reports(pairs: &Pairs) -> Result<(), Fault> {
     let key = "loadReport.source";
@@ -213,3 +237,24 @@
         revenue: pairs.number(&key("revenue"))?,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn budget(lines: &str) -> Result<Option<LegBudget>, Fault> {
+        leg_budget(&Pairs::from_lines(lines).unwrap())
+    }
+
+    #[test]
+    fn a_budget_is_whole_or_none() {
+        assert_eq!(budget("").unwrap(), None);
+        let whole = "safety.budgetFree=5\nsafety.repeatRatio=0.03\nsafety.budgetSpanMs=10000";
+        let expected = LegBudget { free: 5.0, part: 0.03, span: Span::ms(10_000) };
+        assert_eq!(budget(whole).unwrap(), Some(expected));
+        let missing = budget("safety.budgetFree=5\nsafety.budgetSpanMs=10000").unwrap_err();
+        assert!(missing.to_string().contains("safety.repeatRatio"), "{missing}");
+        let none = whole.replace("10000", "0");
+        assert!(budget(&none).unwrap_err().to_string().contains("safety.budgetSpanMs"));
+    }
+}
--- a/src/book.rs
+++ b/src/book.rs
@@ -307,6 +307,63 @@
     }
 }
 
+/// Slots that a span of the leg budget is counted in.
+const SLOTS: u64 = 20;
+
+/// Calls taken and further legs sent of late, by slots of the budget's span: memory does not grow with traffic.
+#[derive(Default)]
+pub(crate) struct Further {
+    /// Each with its slot's number, calls and further legs.
+    counts: [(u64, u32, u32); SLOTS as usize + 1],
+    /// None is sent before.
+    from: Time,
+}
+
+impl Further {
+    /// Danger: what was sent under another budget counts in its last span, and is not known slot by slot.
+    pub fn renewed(terms: &Terms, now: Time) -> Further {
+        let from = terms.leg_budget.map_or(Time(0), |of| now + of.span);
+        Further { from, ..Further::default() }
+    }
+
+    fn slot(of: &LegBudget, now: Time) -> u64 {
+        now.0 / (of.span.0 / SLOTS).max(1)
+    }
+
+    fn count(&mut self, of: &LegBudget, now: Time) -> &mut (u64, u32, u32) {
+        let slot = Further::slot(of, now);
+        let count = &mut self.counts[(slot % (SLOTS + 1)) as usize];
+        if count.0 != slot {
+            *count = (slot, 0, 0);
+        }
+        count
+    }
+
+    pub fn taken(&mut self, terms: &Terms, now: Time) {
+        if let Some(of) = &terms.leg_budget {
+            self.count(of, now).1 += 1;
+        }
+    }
+
+    pub fn sent(&mut self, terms: &Terms, now: Time, legs: u16) {
+        if let Some(of) = terms.leg_budget.as_ref().filter(|_| legs > 0) {
+            self.count(of, now).2 += 1;
+        }
+    }
+
+    /// Danger: the span is judged from any moment. Legs count over all slots that it reaches into, calls over those that lie
+    /// in it whole.
+    pub fn allow(&self, terms: &Terms, now: Time) -> bool {
+        let Some(of) = &terms.leg_budget else { return true };
+        let slot = Further::slot(of, now);
+        let within =
+            |slots: u64| self.counts.iter().filter(move |count| count.0 + slots > slot && count.0 <= slot);
+        let calls: u32 = within(SLOTS).map(|count| count.1).sum();
+        let legs: u32 = within(SLOTS + 1).map(|count| count.2).sum();
+        now >= self.from && f64::from(legs) + 1.0 <= of.free + of.part * f64::from(calls)
+    }
+}
+
 /// What the ready hosts come to: the part of their size that is open, their mean size, and what this node
 /// holds in its zone for each unit of size.
 pub(crate) struct Fleet {
@@ -384,7 +441,9 @@
     pub told_held: Option<f64>,
     /// Legs sent here since its line came that came last, and between that and the one before.
     pub fresh: [f64; 2],
+    /// When it last started, at the latest, and as it is listed.
     pub up_since: Option<Time>,
+    pub listed_up: Option<Time>,
     /// The calls with a leg here, in no order that means anything.
     pub legs: Vec<usize>,
     pub setting_up: u32,
@@ -507,6 +566,17 @@
         }
     }
 
+    /// Whether it is listed with another start than before. Danger: clocks that differ make a host that has just started look
+    /// warm. It started no later than its line came, nor than it is listed and may be off.
+    pub fn has_started(&mut self, listed: Option<Time>, off: Span, now: Time) -> bool {
+        if self.listed_up == listed {
+            return false;
+        }
+        self.listed_up = listed;
+        self.up_since = listed.map(|up| if off > Span::ZERO { now.min(up + off) } else { up });
+        true
+    }
+
     /// Share of its capacity that it has for certain by now.
     pub fn warmth(&self, warming: &Warming, now: Time) -> f64 {
         let Some(up) = self.up_since else { return 1.0 };
@@ -548,7 +618,8 @@
             kind: line.kind,
             told_held: None,
             fresh: [0.0; 2],
-            up_since: line.up_since,
+            up_since: None,
+            listed_up: None,
             legs: Vec::new(),
             setting_up: 0,
             elder: 0.0,
--- a/src/domain.rs
+++ b/src/domain.rs
@@ -229,6 +229,15 @@
     pub window: Span,
 }
 
+/// Legs beyond each call's first that a node may send in any span of this length: so many, and a part of the calls that it
+/// took in that span.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LegBudget {
+    pub free: f64,
+    pub part: f64,
+    pub span: Span,
+}
+
 /// What the deployment allows, asks and pays, as far as the decisions read it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
@@ -248,6 +257,10 @@
     /// The list must be asked for, at least this often without a subscription.
     pub ask_within: Option<Span>,
     pub warming: Warming,
+    /// Without one, as many as a call may have.
+    pub leg_budget: Option<LegBudget>,
+    /// A listed start may be off by so much, either way.
+    pub start_off: Span,
     pub crossing_price: f64,
     /// What the whole run weighs in how service is judged, beside the worst-served traffic type.
     pub whole_weight: f64,
--- a/src/renewal.rs
+++ b/src/renewal.rs
@@ -1,7 +1,7 @@
 //! What a node goes on with: under other settings, and from one process of it to the next. No decision on a
 //! call is taken here.
 
-use crate::book::{Asking, Host, Sizes};
+use crate::book::{Asking, Further, Host, Sizes};
 use crate::domain::*;
 use crate::port::Port;
 use crate::rules::{ASK, Node, list_spread, weighed};
@@ -18,6 +18,9 @@
     pub fn renew(&mut self, now: Time, terms: Terms, port: &mut dyn Port) {
         self.now = now;
         let (asked, live) = (self.terms.ask_within.is_some(), self.terms.weights == Weights::Live);
+        if terms.leg_budget != self.terms.leg_budget {
+            self.further = Further::renewed(&terms, now);
+        }
         self.terms = weighed(terms);
         self.loads.of_type.resize(self.terms.traffic.len(), 0.0);
         match self.terms.weights {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -53,6 +53,7 @@
     pub(crate) loads: Loads,
     pub(crate) remembered: Remembered,
     pub(crate) rates: Rates,
+    pub(crate) further: Further,
     pub(crate) seconds: u64,
     pub(crate) turn: usize,
     pub(crate) ticked: Time,
@@ -105,6 +106,7 @@
             loads: Loads { of_type: vec![0.0; terms.traffic.len()], ..Loads::default() },
             remembered: Remembered::default(),
             rates: Rates::default(),
+            further: Further::default(),
             seconds: 0,
             turn: 0,
             ticked: now,
@@ -139,6 +141,10 @@
         if held.legs >= self.terms.max_legs || self.left(no) == Span::ZERO || !self.may_repeat(no) {
             return Step::End;
         }
+        // Danger: a call that waited for room in the budget would be parked.
+        if !self.may_go_further(no) {
+            return Step::End;
+        }
         let target = self.terms.traffic[usize::from(held.call.traffic.0)].setup_target;
         if self.left(no) < Span::from_seconds(self.rates.setup).min(target) {
             return Step::End;
@@ -189,9 +195,10 @@
     /// Last stage, and the one place that sends legs: each is checked against all four rules here.
     fn send(&mut self, no: usize, port: &mut dyn Port) -> Step {
         let host = self.calls[no].chosen;
-        if !self.is_permitted(no, host) {
+        if !self.is_permitted(no, host) || !self.may_go_further(no) {
             return Step::Keep;
         }
+        self.further.sent(&self.terms, self.now, self.calls[no].legs);
         if self.warmth(host) < 1.0 {
             self.hosts[host].budget -= 1.0;
         }
@@ -230,6 +237,11 @@
             && self.may_repeat_on(no, host)
     }
 
+    /// Whether a call's next leg is its first, or within the budget for others.
+    fn may_go_further(&self, no: usize) -> bool {
+        self.calls[no].legs == 0 || self.further.allow(&self.terms, self.now)
+    }
+
     /// Danger: of hundreds of nodes each would have to save up for a whole call, and a cold host stays empty.
     /// Where a node's fair part is less than one connection, that part is enough to send one. But in a rush
     /// all together would push it over: then each needs a whole call saved up.
@@ -779,7 +791,7 @@
         self.cut_limit(host, weight * (1.0 - growth.max(0.0)));
         let mut above = weight * share;
         while above > 0.0 {
-            let Some(no) = self.dearest_open(host) else { break };
+            let Some(no) = self.random_open(host) else { break };
             // What leaves counts as one connection at the least: many light ones would leave for little.
             let moved = self.told_weight(no).max(1.0);
             if above < moved && self.chance() * moved >= above {
@@ -791,32 +803,12 @@
         }
     }
 
-    /// The open connection that asks for the most by its revenue; any where all are alike.
-    fn dearest_open(&mut self, host: usize) -> Option<usize> {
-        let mut dearest = self.random_open(host)?;
-        let mut most = self.cost(dearest);
-        for at in 0..self.hosts[host].legs.len() {
-            let no = self.hosts[host].legs[at];
-            let cost = self.cost(no);
-            if self.calls[no].is_open() && cost > most {
-                (dearest, most) = (no, cost);
-            }
-        }
-        Some(dearest)
-    }
-
     /// A connection's load in connections of the mean load, as far as that was told.
     fn told_weight(&self, no: usize) -> f64 {
         let mean = self.loads.mean;
         self.calls[no].load.filter(|_| mean > 0.0).map_or(1.0, |load| load / mean)
     }
 
-    /// What a connection asks of its host for its revenue.
-    fn cost(&self, no: usize) -> f64 {
-        let traffic = usize::from(self.calls[no].call.traffic.0);
-        self.told_weight(no) / self.terms.traffic[traffic].revenue.max(1e-9)
-    }
-
     /// Danger: while a host empties, its weight of the moment says nothing of what it can do; a limit taken
     /// from it would keep the host idle. A second cuts the limit by three tenths at most.
     fn cut_limit(&mut self, host: usize, weight: f64) {
@@ -918,6 +910,7 @@
 
     pub fn call_taken(&mut self, now: Time, call: Call, port: &mut dyn Port) {
         self.now = now;
+        self.further.taken(&self.terms, now);
         self.rates.arrivals += u32::from(!call.returning && !call.mid_flow);
         let no = self.take_in(call);
         if self.is_beyond_part(no) {
@@ -1103,9 +1096,8 @@
             match self.host_no.get(&line.host) {
                 Some(host) => {
                     let to = &mut self.hosts[*host];
-                    if to.up_since != line.up_since {
-                        (to.up_since, to.budget, to.budget_at) = (line.up_since, first_budget, now);
-                        to.held = 0.0;
+                    if to.has_started(line.up_since, self.terms.start_off, now) {
+                        (to.budget, to.budget_at, to.held) = (first_budget, now, 0.0);
                     }
                     (to.condition, to.zone, to.cell) = (line.condition, line.zone, line.cell);
                     to.kind = line.kind;
@@ -1149,6 +1141,7 @@
         // One that is not cold is held to have as much for its size as the others.
         self.hosts.push(Host { budget, ..Host::new(line, mean, self.now) });
         let host = self.hosts.len() - 1;
+        self.hosts[host].has_started(line.up_since, self.terms.start_off, self.now);
         self.sizes.read(&mut self.hosts[host], line.weight, self.terms.weights);
         let part = self.hosts[host].nominal.0 * held_per_share(&self.hosts[..host]);
         if line.condition == Condition::Ready && self.warmth(host) >= 1.0 {
--- a/tests/lost_node.rs
+++ b/tests/lost_node.rs
@@ -145,6 +145,8 @@
         come_back: None,
         ask_within: None,
         warming: Warming { from: 0.2, after: Span::ms(20_000), multiple: 3.0, window: Span::ms(1_000) },
+        leg_budget: None,
+        start_off: Span::ZERO,
         crossing_price: 0.03,
         whole_weight: 0.5,
     }
