What stands still loses its connections, not its limit; shedding eases off where most hosts are closed

Change: growth over 0.8 s a second where no groups are held: all leaves, the limit stays; the part of a pile that is shed shrinks with the part of the fleet that is open. Covers any host that stops and goes on, and overload; could do harm where a host in fact is past twice its load at one step: then its limit is learnt a second later.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -787,8 +787,12 @@
             return;
         }
         let growth = (took - before) / since.clamp(0.5, 1.0);
-        let share = (growth + took / 0.8).clamp(0.0, 0.5);
-        self.cut_limit(host, weight * (1.0 - growth.max(0.0)));
+        // Danger: a host that stands still, as with whatever it shares with others, shows nothing of what it can do: limits
+        // cut by it close the fleet. All that stands there is served sooner elsewhere, unless groups make that dear.
+        let stands = growth > 0.8 && self.groups.all == 0;
+        // Danger: where most hosts are closed, what leaves one comes back to another like it.
+        let share = (growth + self.fleet.open * took / 0.8).clamp(0.0, if stands { 1.0 } else { 0.5 });
+        self.cut_limit(host, if stands { f64::INFINITY } else { weight * (1.0 - growth.max(0.0)) });
         let mut above = weight * share;
         while above > 0.0 {
             let Some(no) = self.random_open(host) else { break };
