--- a/src/rules.rs
+++ b/src/rules.rs
@@ -778,18 +778,18 @@
     fn crowded_host(&mut self, host: usize, took: Span, port: &mut dyn Port) {
         let (target, took, weight) = (self.terms.message_target(), took.seconds(), self.weight(host));
         let to = &mut self.hosts[host];
-        to.strain = to.strain.max((took / target).min(4.0));
         let since = self.now.since(to.piled_at).seconds();
         let before = if since < 1.5 { to.piled } else { 0.0 };
         (to.piled, to.piled_at) = (took, self.now);
+        let growth = (took - before) / since.clamp(0.5, 1.0);
+        let stands = growth > 0.8 && self.groups.all == 0;
+        to.strain = to.strain.max(if stands { 0.0 } else { (took / target).min(4.0) });
         // Below three tenths of the target all is well; shedding from a half or the whole lost far more.
         if took < 0.3 * target {
             return;
         }
-        let growth = (took - before) / since.clamp(0.5, 1.0);
         // Danger: a host that stands still, as with whatever it shares with others, shows nothing of what it can do: limits
         // cut by it close the fleet. All that stands there is served sooner elsewhere, unless groups make that dear.
-        let stands = growth > 0.8 && self.groups.all == 0;
         // Danger: where most hosts are closed, what leaves one comes back to another like it.
         let share = (growth + self.fleet.open * took / 0.8).clamp(0.0, if stands { 1.0 } else { 0.5 });
         self.cut_limit(host, if stands { f64::INFINITY } else { weight * (1.0 - growth.max(0.0)) });
