--- a/src/rules.rs
+++ b/src/rules.rs
@@ -782,7 +782,7 @@
         let before = if since < 1.5 { to.piled } else { 0.0 };
         (to.piled, to.piled_at) = (took, self.now);
         let growth = (took - before) / since.clamp(0.5, 1.0);
-        let stands = growth > 0.8 && self.groups.all == 0;
+        let stands = growth > 0.8;
         to.strain = to.strain.max(if stands { 0.0 } else { (took / target).min(4.0) });
         // Below three tenths of the target all is well; shedding from a half or the whole lost far more.
         if took < 0.3 * target {
@@ -791,7 +791,8 @@
         // Danger: a host that stands still, as with whatever it shares with others, shows nothing of what it can do: limits
         // cut by it close the fleet. All that stands there is served sooner elsewhere, unless groups make that dear.
         // Danger: where most hosts are closed, what leaves one comes back to another like it.
-        let share = (growth + self.fleet.open * took / 0.8).clamp(0.0, if stands { 1.0 } else { 0.5 });
+        let most = if stands && self.groups.all == 0 { 1.0 } else { 0.5 };
+        let share = (growth + self.fleet.open * took / 0.8).clamp(0.0, most);
         self.cut_limit(host, if stands { f64::INFINITY } else { weight * (1.0 - growth.max(0.0)) });
         let mut above = weight * share;
         while above > 0.0 {
