--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -28,6 +28,8 @@
     index: u64,
     entries: Vec<(u64, Value)>,
     down: bool,
+    /// So many questions are taken and never answered.
+    mute: u32,
 }
 
 type Shared = Arc<(Mutex<Registry>, Condvar)>;
@@ -49,7 +51,12 @@
         };
         let (after, wait) = (number("after="), number("wait_ms=").unwrap_or(0));
         let idle = |registry: &mut Registry| !registry.down && Some(registry.index) == after;
-        let guard = shared.0.lock().unwrap();
+        let mut guard = shared.0.lock().unwrap();
+        if guard.mute > 0 {
+            guard.mute -= 1;
+            drop(guard);
+            return reader.read_line(&mut first).map(drop);
+        }
         let registry = shared.1.wait_timeout_while(guard, Duration::from_millis(wait), idle).unwrap().0;
         if registry.down {
             return Ok(());
@@ -243,7 +250,8 @@
                        "status": "in_service", "weight": 1.0, "since_ms": 0}),
             )
         };
-        let registry = Registry { index: 1, entries: names.iter().map(entry).collect(), down: false };
+        let mute = given.get("mute").map_or(0, |n| n.parse().unwrap());
+        let registry = Registry { index: 1, entries: names.iter().map(entry).collect(), down: false, mute };
         let known: Vec<&Value> = match given.get("known") {
             Some(&"none") => vec![],
             _ => registry.entries.iter().map(|entry| &entry.1).collect(),
@@ -639,7 +647,7 @@
                 self.play(&["discovery", "down"]);
                 let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
                 self.told["discovery"] = discovery.local_addr().unwrap().to_string().into();
-                self.registry = serve_lists(discovery, Registry { index: 0, entries, down: false });
+                self.registry = serve_lists(discovery, Registry { index: 0, entries, down: false, mute: 0 });
                 std::fs::write(&self.config, self.told.to_string()).unwrap();
                 kill_process(Pid::from_child(&self.child), Signal::HUP).unwrap();
                 self.asked = Instant::now();
@@ -725,6 +733,7 @@
 #[test_case("upgrade_crowd"; "a crowd and slow callers keep nobody from taking over")]
 #[test_case("upgrade_drained"; "a drain holds across a replacement")]
 #[test_case("discovery"; "a node goes on without the list's service")]
+#[test_case("silent_list"; "a list question that is never answered is put again before hosts drain")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap();
