--- a/crates/rig/src/agencies.rs
+++ b/crates/rig/src/agencies.rs
@@ -80,14 +80,16 @@
 pub struct Agencies {
     pub seen: Arc<Mutex<Standing>>,
     stop: Arc<AtomicBool>,
-    up: Arc<AtomicU64>,
+    /// Connections that stand, node by node.
+    up: Arc<[AtomicU64]>,
     pub count: u64,
 }
 
 impl Agencies {
     /// So many clients, dealt out over so many groups.
     pub fn start(clients: &Clients, homes: &Homes, count: u64, groups: u64, seed: u64) -> Agencies {
-        let agencies = Agencies { seen: Arc::default(), stop: Arc::default(), up: Arc::default(), count };
+        let up = clients.nodes().iter().map(|_| AtomicU64::new(0)).collect();
+        let agencies = Agencies { seen: Arc::default(), stop: Arc::default(), up, count };
         for number in 0..count {
             let (nodes, front, homes) = (clients.nodes().to_vec(), clients.front(), homes.clone());
             let (seen, stop, up) = (agencies.seen.clone(), agencies.stop.clone(), agencies.up.clone());
@@ -103,7 +105,12 @@
 
     /// Connections that stand.
     pub fn up(&self) -> u64 {
-        self.up.load(Ordering::Relaxed)
+        (0..self.up.len()).map(|at| self.up_at(at)).sum()
+    }
+
+    /// Those of them at one node.
+    pub fn up_at(&self, at: usize) -> u64 {
+        self.up[at].load(Ordering::Relaxed)
     }
 
     pub fn end(&self) {
@@ -117,7 +124,7 @@
     homes: Homes,
     seen: Arc<Mutex<Standing>>,
     stop: Arc<AtomicBool>,
-    up: Arc<AtomicU64>,
+    up: Arc<[AtomicU64]>,
     key: u64,
     group: u64,
 }
@@ -128,7 +135,7 @@
         while !self.stop.load(Ordering::Relaxed) {
             if let Some(at) = self.front.pick(chance) {
                 let id = chance.generate::<u64>() | 1;
-                if self.come(self.nodes[at], id, &mut broke).is_err() {
+                if self.come(at, id, &mut broke).is_err() {
                     broke = broke.or(Some(Instant::now()));
                 }
             }
@@ -136,8 +143,8 @@
         }
     }
 
-    fn come(&self, address: SocketAddr, id: u64, broke: &mut Option<Instant>) -> std::io::Result<()> {
-        let stream = TcpStream::connect_timeout(&address, GUARD)?;
+    fn come(&self, at: usize, id: u64, broke: &mut Option<Instant>) -> std::io::Result<()> {
+        let stream = TcpStream::connect_timeout(&self.nodes[at], GUARD)?;
         stream.set_read_timeout(Some(GUARD + Duration::from_millis(500)))?;
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream);
@@ -156,9 +163,9 @@
         if let (Some(since), Ok(mut seen)) = (broke.take(), self.seen.lock()) {
             seen.back_ms.push(since.elapsed().as_millis() as u64);
         }
-        self.up.fetch_add(1, Ordering::Relaxed);
+        self.up[at].fetch_add(1, Ordering::Relaxed);
         let stays = self.stay(&mut reader);
-        self.up.fetch_sub(1, Ordering::Relaxed);
+        self.up[at].fetch_sub(1, Ordering::Relaxed);
         if let Ok(mut seen) = self.seen.lock() {
             match &stays {
                 // It comes again at once, as told.
