Links that turn bits over: frames between nodes and what a keeper leaves carry sums; each moment of a leg as a scenario

Cause found on the way: nothing but TCP's own sum stood between a bit turned over and a record of another work, host or term; of a record's frame more than half of the single bits could turn over and it was read as another (unit test). The same holds for the file that a keeper leaves to its next process. Both carry a CRC now; a link uses it only if both greetings say so, so versions mix. Frames grow by 4 bytes. Rig: garbled links, works that hosts answer when told, clients that do not read, hosts that die.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -44,9 +44,23 @@
     Estate(Said),
 }
 
-/// Follows the greeting: 1, speaks of estates. Danger: in a rolling release nodes of the version before end a link that
-/// brings what they cannot read; these read no further than the greeting, and send nothing after it.
-const SPEAKS: u32 = 1;
+/// Follows the greeting: 1, speaks of estates; 2, its frames carry sums. Danger: in a rolling release nodes of a version
+/// before end a link that brings what they cannot read; these read no further than the greeting, and send nothing after it.
+const SPEAKS: u32 = 2;
+const SUMS: u32 = 2;
+
+/// Danger: one bit turned over on the way would make another host, leg or term of what is kept, and a work could be done
+/// twice. TCP's own sum misses one in 65,536 of what is damaged, and middle boxes make it anew.
+pub fn seal(bytes: &mut Vec<u8>) {
+    let sum = crc32fast::hash(bytes);
+    bytes.extend_from_slice(&sum.to_le_bytes());
+}
+
+/// What was sealed, if it is as it was.
+pub fn unseal(bytes: &[u8]) -> Option<&[u8]> {
+    let (inner, sum) = bytes.split_last_chunk::<4>()?;
+    (crc32fast::hash(inner).to_le_bytes() == *sum).then_some(inner)
+}
 
 struct Link {
     /// Whom it leads to, once that has been said.
@@ -98,13 +112,16 @@
 }
 
 fn write_greeting(hello: Hello) -> Vec<u8> {
-    postcard::to_stdvec(&(hello, SPEAKS)).unwrap_or_default()
+    let mut bytes = postcard::to_stdvec(&(hello, SPEAKS)).unwrap_or_default();
+    seal(&mut bytes);
+    bytes
 }
 
-/// The version before this one says nothing after it.
+/// The first version says nothing after it, the second no sum; neither reads further than it knows.
 fn read_greeting(bytes: &[u8]) -> Option<(Hello, u32)> {
     let (hello, rest) = postcard::take_from_bytes::<Hello>(bytes).ok()?;
-    Some((hello, if rest.is_empty() { 0 } else { postcard::from_bytes(rest).ok()? }))
+    let speaks = if rest.is_empty() { 0 } else { postcard::from_bytes(rest).ok()? };
+    (speaks < SUMS || unseal(bytes).is_some()).then_some((hello, speaks))
 }
 
 fn frame(bytes: &[u8], out: &mut Vec<u8>) {
@@ -292,6 +309,12 @@
     }
 
     fn letter(&mut self, id: ConnId, peer: &UnitName, bytes: &[u8]) {
+        let links = self.membership.as_ref().map(|membership| &membership.peers.links);
+        let sums = links.and_then(|links| links.get(&id)).is_some_and(|link| link.speaks >= SUMS);
+        let Some(bytes) = (if sums { unseal(bytes) } else { Some(bytes) }) else {
+            warn!(%peer, "a letter is damaged");
+            return self.peer_lost(id);
+        };
         match postcard::take_from_bytes::<Frame>(bytes) {
             Ok((Frame::Letter(envelope), [])) => self.peer_said(peer, *envelope),
             Ok((Frame::Words(words), [])) => self.peer_keeps(peer, words),
@@ -316,7 +339,10 @@
             debug!(%peer, "does not read");
             return self.peer_lost(id);
         }
-        let Ok(bytes) = postcard::to_stdvec(said) else { return };
+        let Ok(mut bytes) = postcard::to_stdvec(said) else { return };
+        if membership.peers.links.get(&id).is_some_and(|link| link.speaks >= SUMS) {
+            seal(&mut bytes);
+        }
         membership.peers.sent.0 += 1;
         membership.peers.sent.1 += bytes.len() as u64;
         frame(&bytes, &mut seat.conn.outbox);
@@ -347,9 +373,35 @@
         };
         let before = postcard::to_stdvec(&hello()).unwrap();
         assert_eq!(read_greeting(&before), Some((hello(), 0)));
+        let between = postcard::to_stdvec(&(hello(), 1_u32)).unwrap();
+        assert_eq!(read_greeting(&between), Some((hello(), 1)));
         assert_eq!(read_greeting(&write_greeting(hello())), Some((hello(), SPEAKS)));
-        // As the version before reads it.
+        // As the versions before read it.
         assert_eq!(postcard::from_bytes::<Hello>(&write_greeting(hello())).ok(), Some(hello()));
+        let read = postcard::from_bytes::<(Hello, u32)>(&write_greeting(hello()));
+        assert_eq!(read.ok(), Some((hello(), SPEAKS)));
         assert_eq!(read_greeting(&before[..before.len() - 1]), None);
     }
+
+    /// Without the sum more than half of the bits of such a letter may turn over and it is read as another.
+    #[test]
+    fn a_letter_of_which_a_bit_has_turned_over_is_not_read() {
+        let outcome = glendeck_takeover::Outcome::NeverRan;
+        let owner = UnitName("n3".into());
+        let id = glendeck_takeover::RecordId { owner, life: glendeck_fleet::state::Life(1 << 60), count: 77 };
+        let word = Word::Ended { no: 1, id, work: glendeck_takeover::Work(0xfeed_beef), outcome };
+        let bare = postcard::to_stdvec(&Frame::Words(vec![word])).unwrap();
+        let flipped = |bytes: &[u8], bit: usize| {
+            let mut bytes = bytes.to_vec();
+            bytes[bit / 8] ^= 1 << (bit % 8);
+            bytes
+        };
+        let is_read = |bytes: &[u8]| matches!(postcard::take_from_bytes::<Frame>(bytes), Ok((_, [])));
+        let misread = (0..bare.len() * 8).filter(|bit| is_read(&flipped(&bare, *bit))).count();
+        assert!(misread * 2 > bare.len() * 8, "{misread} of {}", bare.len() * 8);
+        let mut sealed = bare.clone();
+        seal(&mut sealed);
+        assert_eq!(unseal(&sealed), Some(bare.as_slice()));
+        assert!((0..sealed.len() * 8).all(|bit| unseal(&flipped(&sealed, bit)).is_none()));
+    }
 }
--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -14,7 +14,7 @@
 use tracing::{debug, info, warn};
 
 use crate::line::{Answer, Opening, hashed};
-use crate::peers::Frame;
+use crate::peers::{Frame, seal, unseal};
 use crate::service::{Held, Service};
 
 /// In the node's folder, beside the store: what the process before kept.
@@ -91,6 +91,19 @@
     }
 }
 
+/// As the file holds it, from which process by the store's count.
+///
+/// Danger: a disk that turns a bit over makes a record another work's, and this keeper would forget one that it swears by.
+fn write_left(left: &(u64, Left)) -> Result<Vec<u8>, postcard::Error> {
+    let mut bytes = postcard::to_stdvec(left)?;
+    seal(&mut bytes);
+    Ok(bytes)
+}
+
+fn read_left(bytes: &[u8]) -> Option<(u64, Left)> {
+    postcard::from_bytes(unseal(bytes)?).ok()
+}
+
 /// What names the same work at every node.
 fn name(traffic: &str, tenant: &str, subject: u64) -> Name {
     let parts = [traffic.as_bytes(), b"\0", tenant.as_bytes(), b"\0", &subject.to_le_bytes()];
@@ -194,7 +207,7 @@
         let (fresh, path) = (folder.join("work.new"), folder.join(LEFT));
         let write = || -> std::io::Result<()> {
             let mut file = std::fs::File::create(&fresh)?;
-            file.write_all(&postcard::to_stdvec(&left).map_err(std::io::Error::other)?)?;
+            file.write_all(&write_left(&left).map_err(std::io::Error::other)?)?;
             file.sync_all()?;
             std::fs::rename(&fresh, &path)
         };
@@ -214,7 +227,10 @@
         if std::fs::remove_file(&path).is_err() {
             return;
         }
-        let left = postcard::from_bytes::<(u64, Left)>(&bytes).ok();
+        let left = read_left(&bytes);
+        if left.is_none() {
+            warn!("what the process before kept cannot be read: this one answers for no repeats at first");
+        }
         let before = membership.fleet.incarnation().0.checked_sub(1);
         work.inherits = left.filter(|(of, _)| Some(*of) == before).map(|(_, left)| left);
     }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -15,8 +15,9 @@
 
 use crate::agencies::Homes;
 use crate::clients::Clients;
+use crate::errands::Wishes;
 use crate::links::{Links, Way};
-use crate::stand_ins::{Effects, Host, Legs, List, WINDOW_MS};
+use crate::stand_ins::{Book, Effects, Host, Legs, List, WINDOW_MS};
 use crate::{reserve, spawn};
 
 static RUNS: AtomicU32 = AtomicU32::new(0);
@@ -68,6 +69,8 @@
     pub effects: Effects,
     /// What hosts saw of clients' groups.
     pub homes: Homes,
+    /// What hosts are told to do with single works.
+    pub wishes: Wishes,
     nodes: Nodes,
     doors: Vec<SocketAddr>,
     folder: PathBuf,
@@ -122,10 +125,8 @@
         let folder = std::env::temp_dir().join(format!("glendeck-rig-{}-{run}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         std::fs::write(folder.join("fleet.toml"), charter(&shape))?;
-        let legs = Legs::default();
-        let (effects, homes) = (Effects::default(), Homes::default());
-        let hosts =
-            (0..shape.hosts).map(|at| Host::start(&format!("h{at}"), at % 2, &legs, &effects, &homes));
+        let book = Book::default();
+        let hosts = (0..shape.hosts).map(|at| Host::start(&format!("h{at}"), at % 2, &book));
         let hosts = hosts.collect::<Result<Vec<_>, _>>()?;
         let list = List::start(&hosts)?;
         let (mut reserved, mut places) = (Vec::new(), Vec::new());
@@ -169,9 +170,10 @@
         let fleet = Fleet {
             clients: Clients::start(places.iter().map(|place| place[0]).collect()),
             links,
-            legs,
-            effects,
-            homes,
+            legs: book.legs,
+            effects: book.effects,
+            homes: book.homes,
+            wishes: book.wishes,
             nodes: Arc::new(Mutex::new((0..shape.nodes).map(fresh).collect())),
             doors: places.iter().map(|place| place[1]).collect(),
             folder,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod agencies;
 mod clients;
+mod errands;
 mod fleet;
 mod links;
 mod stand_ins;
@@ -10,10 +11,11 @@
 
 pub use agencies::{Agencies, Groups};
 pub use clients::{Clients, Seen};
+pub use errands::{Errands, Heard, Wish};
 pub use fleet::{Fleet, Reply, Shape};
 pub use links::{Links, Way};
 pub use stand_ins::{Did, Effects, Host, List};
-pub use workers::{Ended, Workers};
+pub use workers::{Ended, Workers, kind_of};
 
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::OwnedFd;
--- a/crates/rig/src/links.rs
+++ b/crates/rig/src/links.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use nanorand::{Rng, WyRand};
 use rustix::net::sockopt::set_socket_linger;
 
 use crate::{loopback, spawn};
@@ -24,11 +25,16 @@
     Slow,
     /// A few bytes at a time.
     Trickle,
+    /// One bit of every so-manieth piece turns over.
+    Garbled,
 }
 
+/// Of so many pieces one has a bit turned over: a voter's link carries some five a second.
+const GARBLES: u64 = 20;
+
 impl Way {
     fn of(number: u8) -> Way {
-        [Way::Open, Way::Cut, Way::Stalled, Way::Slow, Way::Trickle][usize::from(number).min(4)]
+        [Way::Open, Way::Cut, Way::Stalled, Way::Slow, Way::Trickle, Way::Garbled][usize::from(number).min(5)]
     }
 }
 
@@ -115,6 +121,7 @@
     let resets = lane.resets.load(Ordering::Relaxed);
     let _ = (from.set_read_timeout(Some(Duration::from_millis(20))), to.set_nodelay(true));
     let mut buffer = [0; 16 << 10];
+    let mut chance = WyRand::new_seed(from.peer_addr().map_or(1, |of| u64::from(of.port())));
     loop {
         if lane.resets.load(Ordering::Relaxed) != resets {
             for stream in [&from, &to] {
@@ -135,11 +142,20 @@
                 return;
             }
             Ok(n) => {
+                // Danger: it may have waited here since before the fault.
+                let mut way = Way::of(lane.way.load(Ordering::Relaxed));
+                while way == Way::Stalled && lane.resets.load(Ordering::Relaxed) == resets {
+                    std::thread::sleep(Duration::from_millis(10));
+                    way = Way::of(lane.way.load(Ordering::Relaxed));
+                }
                 match way {
                     Way::Cut => continue,
                     Way::Slow => std::thread::sleep(Duration::from_millis(200)),
                     Way::Trickle => std::thread::sleep(Duration::from_millis(2)),
-                    Way::Open | Way::Stalled => {}
+                    Way::Garbled if chance.generate_range(0..GARBLES) == 0 => {
+                        buffer[chance.generate_range(0..n)] ^= 1 << chance.generate_range(0..8_u32);
+                    }
+                    Way::Open | Way::Stalled | Way::Garbled => {}
                 }
                 if to.write_all(&buffer[..n]).is_err() {
                     let _ = from.shutdown(Shutdown::Both);
--- a/crates/rig/src/stand_ins.rs
+++ b/crates/rig/src/stand_ins.rs
@@ -2,14 +2,15 @@
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
 use crate::agencies::{Homes, group_of, load_of};
+use crate::errands::{Told, Wish, Wishes};
 use crate::{loopback, spawn};
 
 /// Which legs hosts were sent, by the call's id: where, and how many.
@@ -18,14 +19,24 @@
 /// Hosts of one cell recall a reference for so long, in ms.
 pub const WINDOW_MS: f64 = 3_000.0;
 
-/// One thing that a host did: when, in which cell, and whether it was anything new there.
-#[derive(Clone, Copy, Debug)]
+/// One thing that a host did: when, which host in which cell, and whether it was anything new there.
+#[derive(Clone, Debug)]
 pub struct Did {
     pub at: Instant,
+    pub host: String,
     pub cell: usize,
     pub anew: bool,
 }
 
+/// What all hosts write down, and what they are told to do.
+#[derive(Clone, Default)]
+pub struct Book {
+    pub legs: Legs,
+    pub effects: Effects,
+    pub homes: Homes,
+    pub wishes: Wishes,
+}
+
 /// What hosts did for each work, by its traffic type and key.
 pub type Effects = Arc<Mutex<HashMap<String, Vec<Did>>>>;
 
@@ -53,6 +64,9 @@
     pub address: SocketAddr,
     pub cell: usize,
     seen: Arc<Seen>,
+    /// It was killed: it takes nothing, and its connections have ended.
+    dead: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 /// What a host saw of its connections.
@@ -65,35 +79,37 @@
 impl Host {
     /// # Errors
     /// No socket is granted.
-    pub fn start(
-        name: &str,
-        cell: usize,
-        legs: &Legs,
-        effects: &Effects,
-        homes: &Homes,
-    ) -> std::io::Result<Host> {
+    pub fn start(name: &str, cell: usize, book: &Book) -> std::io::Result<Host> {
         let listener = loopback()?;
         let address = listener.local_addr()?;
-        let (legs, effects, seen) = (legs.clone(), effects.clone(), Arc::new(Seen::default()));
-        let (homes, of) = (homes.clone(), name.to_owned());
-        let host = Host { name: name.to_owned(), address, cell, seen: seen.clone() };
+        let host = Host {
+            name: name.to_owned(),
+            address,
+            cell,
+            seen: Arc::default(),
+            dead: Arc::default(),
+            streams: Arc::default(),
+        };
+        let (book, of, seen) = (book.clone(), name.to_owned(), host.seen.clone());
+        let (dead, streams) = (host.dead.clone(), host.streams.clone());
         spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (legs, effects, seen) = (legs.clone(), effects.clone(), seen.clone());
-                let (homes, of) = (homes.clone(), of.clone());
+                if dead.load(Ordering::SeqCst) {
+                    continue;
+                }
+                if let (Ok(mut streams), Ok(stream)) = (streams.lock(), stream.try_clone()) {
+                    streams.retain(|stream| stream.peer_addr().is_ok());
+                    streams.push(stream);
+                }
+                let (book, of, seen) = (book.clone(), of.clone(), seen.clone());
                 spawn(move || {
                     let (mut opened, mut group) = (false, None);
-                    let _ = serve(
-                        stream,
-                        (&of, cell),
-                        (&legs, &effects, &homes),
-                        &seen,
-                        (&mut opened, &mut group),
-                    );
+                    let _ = serve(&stream, (&of, cell), &book, &seen, (&mut opened, &mut group));
+                    let _ = stream.shutdown(Shutdown::Both);
                     if opened {
                         seen.open.fetch_sub(1, Ordering::SeqCst);
                     }
-                    if let (Some(group), Ok(mut homes)) = (group, homes.lock()) {
+                    if let (Some(group), Ok(mut homes)) = (group, book.homes.lock()) {
                         homes.closed(&of, group);
                     }
                 });
@@ -102,6 +118,16 @@
         Ok(host)
     }
 
+    /// Its connections end and it takes no other; `false`: it is back, and recalls what it did.
+    pub fn die(&self, dead: bool) {
+        self.dead.store(dead, Ordering::SeqCst);
+        if let (true, Ok(mut streams)) = (dead, self.streams.lock()) {
+            for stream in streams.drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
     /// Connections that stand now, and all that have ever been opened.
     pub fn seen(&self) -> (i64, u64) {
         (self.seen.open.load(Ordering::SeqCst), self.seen.opened.load(Ordering::SeqCst))
@@ -109,30 +135,39 @@
 }
 
 fn serve(
-    stream: TcpStream,
+    stream: &TcpStream,
     (host, cell): (&str, usize),
-    (legs, effects, homes): (&Legs, &Effects, &Homes),
+    book: &Book,
     seen: &Seen,
     (opened, group): (&mut bool, &mut Option<u64>),
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    let (mut reader, mut writer) = (BufReader::new(stream.try_clone()?), stream);
+    let (mut reader, mut writer) = (BufReader::new(stream), stream);
     let mut line = String::new();
     while reader.read_line(&mut line)? > 0 {
         let mut words = line.split_whitespace();
         match (words.next(), words.next()) {
             (Some("PING"), _) => writer.write_all(b"PONG\r\n")?,
             (Some("OPEN"), Some(id)) => {
-                if let Ok(mut legs) = legs.lock() {
+                let (key, list) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+                let kind = ["c=pay", "c=edit"].into_iter().find(|kind| list.starts_with(*kind));
+                let told = book.wishes.told(key);
+                // What did not come in whole was never read: nothing of it is known here.
+                if let Some(Told { wish: Wish::Half, .. }) = told {
+                    book.wishes.came(key);
+                    line.clear();
+                    continue;
+                }
+                if let Ok(mut legs) = book.legs.lock() {
                     *legs.entry(id.to_owned()).or_default() += 1;
                 }
                 if !std::mem::replace(opened, true) {
                     seen.open.fetch_add(1, Ordering::SeqCst);
                 }
                 seen.opened.fetch_add(1, Ordering::SeqCst);
-                let (key, list) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
-                if let Some(kind) = ["c=pay", "c=edit"].into_iter().find(|kind| list.starts_with(*kind)) {
-                    match does(effects, kind, key, cell) {
+                if let Some(kind) = kind {
+                    match does(&book.effects, kind, key, (host, cell), told.is_some()) {
+                        _ if told.is_some() => book.wishes.answer(key),
                         Way::Soon(ms) => std::thread::sleep(Duration::from_millis(ms)),
                         Way::Silent => {
                             line.clear();
@@ -142,7 +177,7 @@
                     }
                 }
                 if let Some(of) = group_of(list) {
-                    if let Ok(mut homes) = homes.lock() {
+                    if let Ok(mut homes) = book.homes.lock() {
                         homes.opened(host, of, key);
                     }
                     *group = Some(of);
@@ -160,14 +195,14 @@
 }
 
 /// The work is done, or turned away. Hosts of a cell that did it of late do nothing again.
-fn does(effects: &Effects, kind: &str, key: &str, cell: usize) -> Way {
+fn does(effects: &Effects, kind: &str, key: &str, (host, cell): (&str, usize), told: bool) -> Way {
     let Ok(mut effects) = effects.lock() else { return Way::Silent };
     let did = effects.entry(format!("{kind} {key}")).or_default();
-    let way = way(key, did.len());
+    let way = if told { Way::Soon(0) } else { way(key, did.len()) };
     if !matches!(way, Way::Busy) {
         let recalls = |of: &Did| of.cell == cell && of.at.elapsed() < Duration::from_millis(WINDOW_MS as u64);
         let anew = kind == "c=pay" || !did.iter().any(recalls);
-        did.push(Did { at: Instant::now(), cell, anew });
+        did.push(Did { at: Instant::now(), host: host.to_owned(), cell, anew });
     }
     way
 }
--- a/crates/rig/src/workers.rs
+++ b/crates/rig/src/workers.rs
@@ -13,7 +13,7 @@
 use crate::spawn;
 
 /// How long a client waits, and how much later an answer still counts.
-const GUARD: Duration = Duration::from_millis(1_500);
+pub(crate) const GUARD: Duration = Duration::from_millis(1_500);
 const SLACK: Duration = Duration::from_millis(500);
 
 /// It comes so often at most, and never later than its record is kept.
@@ -46,7 +46,7 @@
     running: Arc<AtomicU64>,
 }
 
-enum Came {
+pub(crate) enum Came {
     Up(Duration),
     Busy,
     Released,
@@ -154,14 +154,23 @@
     }
 }
 
-fn come(address: SocketAddr, id: u64, key: u64, pays: bool, repeat: bool) -> Came {
+/// As lines name a work's traffic type: what must not be done twice, and what hosts of a cell recall.
+pub fn kind_of(pays: bool) -> &'static str {
+    if pays { "pay" } else { "edit" }
+}
+
+pub(crate) fn opening(id: u64, key: u64, pays: bool, repeat: bool) -> String {
+    let mark = if repeat { ",r=1" } else { "" };
+    format!("OPEN {id:016x} {key:x} c={},t=one,d={}{mark}\r\n", kind_of(pays), GUARD.as_millis())
+}
+
+pub(crate) fn come(address: SocketAddr, id: u64, key: u64, pays: bool, repeat: bool) -> Came {
     let Ok(stream) = TcpStream::connect_timeout(&address, GUARD) else { return Came::Busy };
     let nothing = |fault: std::io::Error| Came::Nothing(fault.to_string());
     if let Err(fault) = stream.set_read_timeout(Some(GUARD + SLACK)).and_then(|()| stream.set_nodelay(true)) {
         return nothing(fault);
     }
-    let (kind, mark) = (if pays { "pay" } else { "edit" }, if repeat { ",r=1" } else { "" });
-    let line = format!("OPEN {id:016x} {key:x} c={kind},t=one,d={}{mark}\r\n", GUARD.as_millis());
+    let line = opening(id, key, pays, repeat);
     let (began, mut reader) = (Instant::now(), BufReader::new(stream));
     if let Err(fault) = reader.get_mut().write_all(line.as_bytes()) {
         return nothing(fault);
--- a/crates/rig/tests/processes.rs
+++ b/crates/rig/tests/processes.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use glendeck_rig::{Agencies, Did, Ended, Fleet, Shape, Way, Workers};
+use glendeck_rig::{Agencies, Did, Ended, Errands, Fleet, Heard, Shape, Way, Wish, Workers, kind_of};
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use test_case::test_case;
@@ -15,6 +15,7 @@
 struct Run {
     fleet: Fleet,
     workers: Option<Workers>,
+    errands: Errands,
     agencies: Option<Agencies>,
     /// How many lost nodes' clients each node had expected.
     expected: Vec<u64>,
@@ -157,6 +158,66 @@
                     Some(Agencies::start(&self.fleet.clients, &self.fleet.homes, count, groups, 9));
                 self.all_stand();
             }
+            ["hosts", "do", name, kind, does] => {
+                let wish = match *does {
+                    "soon" => Wish::Soon,
+                    "held" => Wish::Held,
+                    "half" => Wish::Half,
+                    other => panic!("hosts cannot do {other:?}"),
+                };
+                self.errands.wish(name, *kind == kind_of(true), wish);
+            }
+            ["come", name, units @ ..] => {
+                for unit in units {
+                    let at = self.node(unit);
+                    self.errands.come(name, at);
+                }
+            }
+            ["deaf", name] => self.errands.deaf(name, true),
+            ["hears", name] => self.errands.deaf(name, false),
+            ["unread", name] => until("an answer came", PATIENCE, || self.errands.unread(name)),
+            ["half", name] => until("half a line came", PATIENCE, || self.errands.halves(name) > 0),
+            // What clients heard at their last comings, one each, in any order.
+            ["heard", name, rest @ ..] => {
+                let mut heard = None;
+                until(&format!("{name} is over"), PATIENCE, || {
+                    heard = self.errands.heard(name, rest.len());
+                    heard.is_some()
+                });
+                let mut left = heard.unwrap();
+                for one in rest {
+                    let may =
+                        |of: &Heard| one.split('|').any(|way| format!("{of:?}").eq_ignore_ascii_case(way));
+                    let at = left.iter().position(may);
+                    left.remove(at.unwrap_or_else(|| panic!("{name}: {left:?}, not {rest:?}")));
+                }
+            }
+            // So often hosts did it; of those, so often it was anything new.
+            ["did", name, times, "anew", anew] => {
+                let (times, anew): (usize, usize) = (times.parse().unwrap(), anew.parse().unwrap());
+                let work = self.errands.work(name);
+                let did = || self.fleet.effects.lock().unwrap().get(&work).cloned().unwrap_or_default();
+                until(&format!("{name} done {times} times"), PATIENCE, || did().len() >= times);
+                let seen = (did().len(), did().iter().filter(|did| did.anew).count());
+                assert_eq!(seen, (times, anew), "{:#?}", did());
+            }
+            ["die", "where", name, "was", "done"] => {
+                let work = self.errands.work(name);
+                let effects = self.fleet.effects.lock().unwrap();
+                let did = effects[&work].first().unwrap();
+                self.fleet.hosts.iter().find(|host| host.name == did.host).unwrap().die(true);
+            }
+            ["hosts", "back"] => self.fleet.hosts.iter().for_each(|host| host.die(false)),
+            // Waited for by its own word: nobody else can see what it keeps.
+            ["forgotten", units @ ..] => {
+                for unit in units {
+                    let at = self.node(unit);
+                    until(&format!("{unit} keeps nothing"), PATIENCE, || {
+                        let status = self.fleet.status(at).unwrap_or_default();
+                        status["work"]["records_held"] == 0 && status["work"]["in_hand"] == 0
+                    });
+                }
+            }
             ["stand"] => self.all_stand(),
             // Without a client there is nothing that could be told of a node.
             ["peopled", units @ ..] => {
@@ -300,6 +361,7 @@
             ["stall", rest @ ..] => self.link(Way::Stalled, rest),
             ["slow", rest @ ..] => self.link(Way::Slow, rest),
             ["trickle", rest @ ..] => self.link(Way::Trickle, rest),
+            ["garble", rest @ ..] => self.link(Way::Garbled, rest),
             // Whoever has a link dials no other.
             ["dials", most, long] => {
                 let before = self.fleet.links.dials();
@@ -477,6 +539,9 @@
 #[test_case("keepers"; "keepers are lost, two, all, and with seven nodes in ten")]
 #[test_case("steady"; "whoever has a link dials no other")]
 #[test_case("estates"; "what clients come back to is kept by others")]
+#[test_case("moments"; "nodes are lost at each moment of a leg")]
+#[test_case("takers"; "nodes, takers and hosts are lost together, and old ones wake")]
+#[test_case("garbled"; "links that turn bits over")]
 #[test_case("links"; "links that are slow, one-way, stalled, flapping or resetting")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
@@ -508,6 +573,7 @@
                 };
                 let fleet = Fleet::start(shape).unwrap();
                 run = Some(Run {
+                    errands: Errands::new(fleet.clients.nodes(), &fleet.wishes),
                     fleet,
                     workers: None,
                     agencies: None,
