--- a/crates/rig/src/bin/takeover-days.rs
+++ b/crates/rig/src/bin/takeover-days.rs
@@ -34,7 +34,7 @@
     let short = 200 + roll(1_200);
     let long = 5_500 + roll(2_000);
     let begin = |at: usize| fleet.begin(at).map_err(|fault| fault.to_string());
-    let what = match roll(9) {
+    let what = match roll(11) {
         0..3 => {
             fleet.kill(one);
             pause(short);
@@ -68,7 +68,7 @@
             fleet.links.heal();
             "a node cut off from its peers"
         }
-        7 => {
+        9 => {
             for at in (0..NODES).filter(|at| *at != one) {
                 fleet.links.set(at, one, Way::Cut);
             }
@@ -76,6 +76,13 @@
             fleet.links.heal();
             "a node that hears no peer"
         }
+        7 | 8 => {
+            fleet.around(one, Way::Garbled);
+            fleet.around(other, Way::Garbled);
+            pause(long);
+            fleet.links.heal();
+            "two nodes' links turn bits over"
+        }
         _ => {
             fleet.around(one, if roll(2) == 0 { Way::Slow } else { Way::Stalled });
             pause(2_000 + roll(3_000));
--- a/crates/rig/src/bin/takeover-figures.rs
+++ b/crates/rig/src/bin/takeover-figures.rs
@@ -106,13 +106,18 @@
         std::thread::sleep(REMEMBER);
         fleet.forgive();
     }
-    let Ended { up, released, busy, unanswered, up_again, again_ms, lost, .. } = workers.end();
+    let Ended { up, released, busy, unanswered, up_again, again_ms, settled_ms, lost, .. } = workers.end();
     println!(
         "{kills} kills: {up} served, {up_again} of them after their node was lost, {}; {released} released, {busy} turned \
          away, {unanswered} unanswered at their last coming, {} lost at nodes that lived",
         spread(again_ms),
         lost.len()
     );
+    println!(
+        "settled after their node was lost: first after {} ms, {}",
+        settled_ms.iter().min().copied().unwrap_or(0),
+        spread(settled_ms)
+    );
     let [served, released, busy] = after_kills;
     println!("in the 10 s after each kill: {served} served, {released} released, {busy} turned away, in all");
     let effects = fleet.effects.lock().map_err(|fault| fault.to_string())?;
--- a/crates/rig/src/workers.rs
+++ b/crates/rig/src/workers.rs
@@ -34,6 +34,8 @@
     pub up_again: u64,
     /// Milliseconds from the first loss to the answer, of those.
     pub again_ms: Vec<u64>,
+    /// Milliseconds from the first loss to the last answer, of all whose node was lost and that were answered at all.
+    pub settled_ms: Vec<u64>,
     /// Milliseconds that a first coming took to be up.
     pub first_ms: Vec<u64>,
     /// A node that nobody had harmed did not answer in time, or broke off.
@@ -126,6 +128,7 @@
                     if let Some(broke) = broke {
                         ended.up_again += 1;
                         ended.again_ms.push(Instant::elapsed(&broke).as_millis() as u64);
+                        ended.settled_ms.push(Instant::elapsed(&broke).as_millis() as u64);
                     }
                 }
                 return;
@@ -145,6 +148,9 @@
         std::thread::sleep(Duration::from_millis(chance.generate_range(5..300)));
     }
     if let Ok(mut ended) = ended.lock() {
+        if let (Some(broke), Some(Came::Released | Came::Busy)) = (broke, &last) {
+            ended.settled_ms.push(Instant::elapsed(&broke).as_millis() as u64);
+        }
         match last {
             Some(Came::Released) => ended.released += 1,
             Some(Came::Busy) => ended.busy += 1,
