--- a/src/rules.rs
+++ b/src/rules.rs
@@ -814,11 +814,11 @@
         to.over_until = self.now + Span::ms(1200);
     }
 
-    /// Which of them leaves. Danger: where a fifth of the fleet is closed what leaves finds no place soon, and a random one
+    /// Which of them leaves. Danger: where two fifths of the fleet are closed what leaves finds no place soon, and a random one
     /// would as well earn most. Of six drawn the one that earns least for its load; in an open fleet only the price is new.
     fn least_worth(&mut self, host: usize) -> Option<usize> {
         let mut least = self.random_open(host)?;
-        for _ in 1..if self.fleet.open < 0.8 { 6 } else { 1 } {
+        for _ in 1..if self.fleet.open < 0.6 { 6 } else { 1 } {
             let other = self.random_open(host)?;
             least = if self.worth(other) < self.worth(least) { other } else { least };
         }
