--- a/src/rules.rs
+++ b/src/rules.rs
@@ -779,8 +779,8 @@
         if took < 0.3 * target {
             return;
         }
-        // Danger: a host that stands still shows nothing of what it can do: limits cut by it close the fleet. All
-        // there is served sooner elsewhere, unless groups make that dear.
+        // Danger: a host that stands still shows nothing of what it can do: limits cut by it close the fleet.
+        // All there is served sooner elsewhere, unless groups make that dear.
         // Danger: where most hosts are closed, what leaves one comes back to another like it.
         let most = if stands && self.groups.all == 0 { 1.0 } else { 0.5 };
         let share = (growth + self.fleet.open * took / 0.8).clamp(0.0, most);
@@ -814,8 +814,8 @@
         to.over_until = self.now + Span::ms(1200);
     }
 
-    /// Danger: where two fifths of the fleet are closed, what leaves finds no place soon, and any one would as
-    /// well earn most. Of six drawn it is the one that earns least for its load; in an open fleet any one.
+    /// Danger: where two fifths of the fleet are closed, what leaves finds no place soon, and any one would
+    /// as well earn most. Of six drawn it is the one that earns least for its load; in an open fleet any one.
     fn least_worth(&mut self, host: usize) -> Option<usize> {
         let mut least = self.random_open(host)?;
         for _ in 1..if self.fleet.open < 0.6 { 6 } else { 1 } {
