--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -384,6 +384,7 @@
 #[test_case("broken_last"; "a host whose last connection broke is taken up again")]
 #[test_case("worth"; "waiting calls are placed by revenue for their load")]
 #[test_case("heir"; "the next process of a node goes on where the one before stands")]
+#[test_case("least_worth"; "in a closed fleet what earns least leaves first")]
 #[test_case("stands_still"; "a host that stands still loses its connections, not its limit")]
 #[test_case("leg_budget"; "further legs keep within their budget")]
 #[test_case("start_off"; "a listed start that may be off is not trusted")]
