--- a/crates/rig/src/stand_ins.rs
+++ b/crates/rig/src/stand_ins.rs
@@ -66,7 +66,7 @@
     seen: Arc<Seen>,
     /// It was killed: it takes nothing, and its connections have ended.
     dead: Arc<AtomicBool>,
-    streams: Arc<Mutex<Vec<TcpStream>>>,
+    streams: Arc<Mutex<HashMap<u64, TcpStream>>>,
 }
 
 /// What a host saw of its connections.
@@ -93,19 +93,21 @@
         let (book, of, seen) = (book.clone(), name.to_owned(), host.seen.clone());
         let (dead, streams) = (host.dead.clone(), host.streams.clone());
         spawn(move || {
-            for stream in listener.incoming().flatten() {
+            for (number, stream) in (0..).zip(listener.incoming().flatten()) {
                 if dead.load(Ordering::SeqCst) {
                     continue;
                 }
                 if let (Ok(mut streams), Ok(stream)) = (streams.lock(), stream.try_clone()) {
-                    streams.retain(|stream| stream.peer_addr().is_ok());
-                    streams.push(stream);
+                    streams.insert(number, stream);
                 }
-                let (book, of, seen) = (book.clone(), of.clone(), seen.clone());
+                let (book, of, seen, streams) = (book.clone(), of.clone(), seen.clone(), streams.clone());
                 spawn(move || {
                     let (mut opened, mut group) = (false, None);
                     let _ = serve(&stream, (&of, cell), &book, &seen, (&mut opened, &mut group));
                     let _ = stream.shutdown(Shutdown::Both);
+                    if let Ok(mut streams) = streams.lock() {
+                        streams.remove(&number);
+                    }
                     if opened {
                         seen.open.fetch_sub(1, Ordering::SeqCst);
                     }
@@ -122,7 +124,7 @@
     pub fn die(&self, dead: bool) {
         self.dead.store(dead, Ordering::SeqCst);
         if let (true, Ok(mut streams)) = (dead, self.streams.lock()) {
-            for stream in streams.drain(..) {
+            for (_, stream) in streams.drain() {
                 let _ = stream.shutdown(Shutdown::Both);
             }
         }
