--- a/crates/takeover/tests/schedules.rs
+++ b/crates/takeover/tests/schedules.rs
@@ -98,6 +98,20 @@
     assert!(!found.is_empty(), "{fault:?} is not caught");
 }
 
+/// Bits turned over between nodes: with sums such words are lost, without them works are done twice.
+#[test_case(true, 1_000)]
+#[test_case(false, 3_000)]
+fn words_are_damaged(sums: bool, days: u64) {
+    let broken = in_parallel(0, days, |seed| {
+        let mut world = World::new(seed, Day::draw(seed));
+        world.damaged = (10, sums);
+        world.run();
+        world.broken.filter(|why| !why.contains("parked"))
+    });
+    println!("sums {sums}: {} of {days} days broken, {:?}", broken.len(), broken.first());
+    assert_eq!(broken.is_empty(), sums, "{:?}", broken.first());
+}
+
 #[test]
 fn the_same_events_give_the_same_day() {
     let trace = || play(11, true).log;
--- a/crates/takeover/tests/world/mod.rs
+++ b/crates/takeover/tests/world/mod.rs
@@ -249,6 +249,8 @@
 }
 
 pub struct World {
+    /// Of a hundred words so many have a bit turned over; and whether sums show that.
+    pub damaged: (u64, bool),
     now: u64,
     seq: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
@@ -271,6 +273,7 @@
 impl World {
     pub fn new(seed: u64, day: Day) -> World {
         let mut world = World {
+            damaged: (0, true),
             now: 0,
             seq: 0,
             queue: BinaryHeap::new(),
@@ -776,6 +779,15 @@
             Link::Up => 1 + self.roll(5),
         };
         let life = self.nodes[to].life;
+        let (damaged, sums) = self.damaged;
+        let word = match damaged > 0 && self.roll(100) < damaged {
+            true if sums => return,
+            true => match self.turn_over(&word) {
+                Some(word) => word,
+                None => return,
+            },
+            false => word,
+        };
         if self.roll(100) < twice {
             let later = ms + self.roll(1_500);
             self.at(later, Event::Word(to, life, from, word.clone()));
@@ -785,6 +797,17 @@
         }
     }
 
+    /// One bit of it, if it can still be read.
+    fn turn_over(&mut self, word: &Word) -> Option<Word> {
+        let mut bytes = postcard::to_stdvec(word).unwrap();
+        let bit = self.roll(bytes.len() as u64 * 8) as usize;
+        bytes[bit / 8] ^= 1 << (bit % 8);
+        match postcard::take_from_bytes(&bytes) {
+            Ok((word, [])) => Some(word),
+            _ => None,
+        }
+    }
+
     // Hosts.
 
     fn at_host(&mut self, node: usize, life: u64, call: u64, leg: u32, host: u64) {
