--- a/crates/rig/src/bin/takeover-figures.rs
+++ b/crates/rig/src/bin/takeover-figures.rs
@@ -78,13 +78,15 @@
     std::thread::sleep(Duration::from_secs(15));
     let after = spent(&fleet);
     let ended = calm.end();
+    let [referenced, once_only] = ended.first_ms;
     let all = (ended.up + ended.released + ended.busy + ended.unanswered).max(1);
     println!(
-        "calm: {} served, {} released, {} turned away; up after {}; {:.2} ms of processor and {:.1} frames a work",
+        "calm: {} served, {} released, {} turned away; up after: referenced {}; once-only {}; {:.2} ms of processor and {:.1} frames a work",
         ended.up,
         ended.released,
         ended.busy,
-        spread(ended.first_ms),
+        spread(referenced),
+        spread(once_only),
         (after.0 - before.0) as f64 / all as f64,
         (after.1 - before.1) as f64 / all as f64
     );
--- a/crates/rig/src/workers.rs
+++ b/crates/rig/src/workers.rs
@@ -36,8 +36,8 @@
     pub again_ms: Vec<u64>,
     /// Milliseconds from the first loss to the last answer, of all whose node was lost and that were answered at all.
     pub settled_ms: Vec<u64>,
-    /// Milliseconds that a first coming took to be up.
-    pub first_ms: Vec<u64>,
+    /// Milliseconds that a first coming took to be up: referenced ones, and once-only ones.
+    pub first_ms: [Vec<u64>; 2],
     /// A node that nobody had harmed did not answer in time, or broke off.
     pub lost: Vec<String>,
 }
@@ -123,7 +123,7 @@
                 if let Ok(mut ended) = ended.lock() {
                     ended.up += 1;
                     if time == 0 {
-                        ended.first_ms.push(took.as_millis() as u64);
+                        ended.first_ms[usize::from(pays)].push(took.as_millis() as u64);
                     }
                     if let Some(broke) = broke {
                         ended.up_again += 1;
