--- a/crates/takeover/src/estate.rs
+++ b/crates/takeover/src/estate.rs
@@ -40,7 +40,7 @@
 
 /// Told of the same process again within this, a node takes it for the other keeper's word, which is at most 2 s in a queue
 /// and as much later as the other's link fell silent. Danger: of a node that is lost soon after a false alarm nobody would
-/// be told; with 10 s a busy machine met that.
+/// be told; with 10 s drawn days met that.
 const ONCE_MS: u64 = 4_000;
 
 /// One thing that is known, by any numbers that mean the same at all nodes.
