One bound on the list's age, one look at the client before attempts, nothing closed over unread bytes

Cause: the first question, and the next after a failed one, were spread over up to 4 s (list_spread, list_failed), where what the node's agent has counts at once; and a watch waited 20 s, so that a silent line was noticed after 21.5 s. Now list.rs holds one inequality, checked by the compiler: watch 2 s, 1 s past it, 2.5 s for the answer to the one opened anew, within 6 s less half a second; refused questions are put again within 1.2 s (asked for) or 0.1 s (pushed). Watches wait unlike parts of 2 s, so that nodes do not fall in step. The second kind of question (the whole list, when in doubt) is gone: it told nothing that the watch does not. A node with a pushed list says PONG once its agent has answered, after 1 s at the latest.

Clients that have gone. open_leg and leg_up, the two places where something new goes to a host, look at the client's socket (one recv with MSG_PEEK) without reading it: an end or reset that lies behind its line, or came while the call waited or its connection came up, ends the call there. Further: what lay in the listening socket's queue because nothing could be accepted has waited, and its time is shorter by that.

A leaving node takes its whole queue before the listening socket closes (one round of 64 before: the rest was reset). Idle clients are read once more before they are closed for silence or at exit, and not closed to make room while their line lies unread or their answer has not gone. After its last answers the process stays up to 150 ms, until its clients have ended. A want of descriptors is no host's fault: such attempts end as never sent, probes wait; one descriptor is kept for the list.

Tests over loopback, in which the node is stopped until both events lie there; on the code before, these fail: gone, gone_between, spoke_on, gone_late, left_queue, crowd_speaks, queued, list_age, pushed. list_crowd passes on the code before too: the suspicion that descriptors for the list run out was not confirmed.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -247,7 +247,7 @@
             Phase::Serving => "serving",
             Phase::Draining { .. } => "draining",
             Phase::Replaced => "replaced",
-            Phase::Leaving { .. } => "leaving",
+            Phase::Leaving { .. } | Phase::Flushing => "leaving",
             Phase::Left => "left",
         }
     }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -7,9 +7,10 @@
 use rustix::net::{self, SocketFlags};
 use tracing::{debug, warn};
 
-use crate::conn::{Conn, Got, MUCH};
+use crate::conn::{Conn, Got, MUCH, Peer};
 use crate::figures::Outcome;
 use crate::line::{self, Answer, First, Opening};
+use crate::reactor::Flags;
 use crate::service::{ConnId, Due, Held, Phase, Role, Seat, Service, Stage};
 use crate::work::Kept;
 
@@ -50,33 +51,55 @@
 const LINGER_TIGHT: Span = Span::ms(100);
 
 impl Service {
-    pub fn accept(&mut self) {
+    /// Whether all that had come was taken.
+    pub fn accept(&mut self) -> bool {
         for _ in 0..ACCEPTS {
             if !self.make_room(RESERVE / 2 + 1) {
-                return self.accept_later();
+                self.accept_later();
+                return false;
             }
-            let Some(listener) = &self.listener else { return };
+            let Some(listener) = &self.listener else { return true };
             match net::accept_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
                 Ok(fd) => {
-                    self.take_client(fd, Vec::new());
+                    let id = self.take_client(fd, Vec::new());
+                    if let Some(seat) = id.and_then(|id| self.conns.get_mut(id.0)) {
+                        seat.queued_since = self.queued_since;
+                    }
+                }
+                Err(Errno::AGAIN) => {
+                    self.queued_since = None;
+                    return true;
                 }
-                Err(Errno::AGAIN) => return,
                 Err(Errno::INTR | Errno::CONNABORTED) => {}
                 Err(fault) => {
                     warn!(%fault, "cannot accept");
-                    return self.accept_later();
+                    self.accept_later();
+                    return false;
                 }
             }
         }
+        self.queued_since.get_or_insert(self.now);
+        false
     }
 
     /// A client that has not opened anything, with what has come from it.
-    pub fn take_client(&mut self, fd: OwnedFd, inbox: Vec<u8>) {
+    pub fn take_client(&mut self, fd: OwnedFd, inbox: Vec<u8>) -> Option<ConnId> {
         let mut conn = Conn::new(fd, false);
         conn.inbox = inbox;
-        if let Some(id) = self.add_conn(conn, Role::Client(None)) {
-            self.deadlines.set(self.now + FIRST_LINE, Due::FirstLine(id));
-            self.note_idle(id);
+        let id = self.add_conn(conn, Role::Client(None))?;
+        self.deadlines.set(self.now + FIRST_LINE, Due::FirstLine(id));
+        self.note_idle(id);
+        Some(id)
+    }
+
+    /// Ends a connection that has opened nothing. Danger: its line may have come in this very moment: it is read first, and
+    /// whoever opens has an answer.
+    pub fn end_idle(&mut self, id: ConnId) {
+        self.readable(id, Flags::IN);
+        let leaves = self.phase == Phase::Flushing;
+        let quiet = |seat: &Seat| leaves || self.now.since(seat.quiet_since) >= FIRST_LINE;
+        if self.conns.get(id.0).is_some_and(|seat| seat.role == Role::Client(None) && quiet(seat)) {
+            self.last_words(id, b"");
         }
     }
 
@@ -90,7 +113,14 @@
                 if self.now.since(since) < IDLE {
                     return false;
                 }
-                self.drop_conn(id);
+                // Danger: a line that lies there unread is a call by now, and an answer that has not gone is owed.
+                let of_use = |seat: &Seat| {
+                    let asks = seat.role == Role::Client(None) && seat.conn.peer() == Peer::Spoke;
+                    asks || seat.conn.unsent() > 0
+                };
+                if !self.conns.get(id.0).is_some_and(of_use) {
+                    self.drop_conn(id);
+                }
             }
             self.idle.pop_front();
         }
@@ -117,6 +147,7 @@
 
     /// Danger: the listening socket stays ready while nothing can be accepted, and the loop would spin.
     fn accept_later(&mut self) {
+        self.queued_since.get_or_insert(self.now);
         self.listen_for(false);
         self.deadlines.set(self.now + ACCEPT_AGAIN, Due::Accept);
     }
@@ -129,13 +160,15 @@
         };
         let Some(seat) = self.conns.get_mut(id.0) else { return };
         seat.conn.inbox.extend_from_slice(&self.scratch[..bytes]);
+        // Danger: what was accepted late is not fresh: its client has waited all the while.
+        let queued = seat.queued_since.take().filter(|_| self.now.since(seat.idle_since) < IDLE);
         match call {
-            None => self.first_lines(id),
+            None => self.first_lines(id, queued.unwrap_or(self.now)),
             Some(call) => self.relay_to_host(id, call),
         }
     }
 
-    fn first_lines(&mut self, id: ConnId) {
+    fn first_lines(&mut self, id: ConnId, said_at: Time) {
         let yes = self.takes_clients();
         while let Some(seat) = self.conns.get_mut(id.0) {
             let Some(length) = line::first_line(&seat.conn.inbox) else {
@@ -160,7 +193,7 @@
                     seat.quiet_since = self.now;
                     self.pump(id);
                 }
-                Ok(First::Open(opening)) => return self.take_call(id, said, opening),
+                Ok(First::Open(opening)) => return self.take_call(id, said, said_at, opening),
                 Err(fault) => {
                     debug!(%fault, "a client's first line");
                     return self.answer_conn(id, Answer::Error);
@@ -169,14 +202,14 @@
         }
     }
 
-    fn take_call(&mut self, id: ConnId, said: Vec<u8>, opening: Opening) {
+    fn take_call(&mut self, id: ConnId, said: Vec<u8>, said_at: Time, opening: Opening) {
         // Danger: two connections of one id are one call to the hosts, and the owner's would be disturbed.
         if self.ids.contains(&opening.id) {
             debug!("a client's id is open already");
             self.figures.count(opening.traffic, Outcome::Failure);
             return self.answer_conn(id, Answer::Error);
         }
-        let leaving = matches!(self.phase, Phase::Leaving { .. }) && !self.takes_clients();
+        let leaving = matches!(self.phase, Phase::Leaving { .. } | Phase::Flushing) && !self.takes_clients();
         if leaving || !self.has_room() {
             let come_back = self.startup.terms.come_back.map(|most| most.min(COME_BACK));
             debug!(leaving, "busy");
@@ -190,7 +223,7 @@
             id: client, traffic, tenant, subject, group, wait, wait_at, load, returning, at, ..
         } = opening;
         let most = if at.is_some() { wait.min(RETURN) } else { wait };
-        let guard = self.now + most - MARGIN.min(most.times(0.5));
+        let guard = said_at + most - MARGIN.min(most.times(0.5));
         let mid_flow = false;
         let before = None;
         let call =
@@ -217,6 +250,11 @@
         }
     }
 
+    /// Whether a probe may have a descriptor: what calls and the list need stays free.
+    pub fn has_room_for_probe(&self) -> bool {
+        self.descriptors() + RESERVE / 2 < self.startup.descriptors
+    }
+
     /// Danger: in a burst, connections that have not asked yet fill the table, and all would be turned away
     /// though many could be served. What counts is what the calls in hand need; and one must be free now.
     fn has_room(&mut self) -> bool {
@@ -295,6 +333,25 @@
         self.settle();
     }
 
+    /// The one check that a call's client is there, made wherever something new would go to a host for it. Danger: its
+    /// end may lie in the socket behind its line, unread while the node was slow or the client unaccepted, and
+    /// while its call waited; hosts would work for nobody. One that spoke on did not wait for its answer.
+    pub fn client_waits(&mut self, call: CallId) -> bool {
+        let Some(held) = self.calls.get_mut(call.0) else { return false };
+        let Some(client) = held.client else { return false };
+        let peer = self.conns.get(client.0).map_or(Peer::Gone, |seat| seat.conn.peer());
+        if peer == Peer::Waits {
+            return true;
+        }
+        debug!(call = call.0, ?peer, "its client does not wait");
+        held.client = None;
+        match peer {
+            Peer::Spoke => self.answer_conn(client, Answer::Error),
+            _ => self.drop_conn(client),
+        }
+        false
+    }
+
     fn call_given_up(&mut self, call: CallId) {
         let Some(held) = self.calls.get(call.0) else { return };
         if held.stage == Stage::Returning {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -45,6 +45,8 @@
     /// How many descriptors the process may hold.
     pub descriptors: usize,
     pub terms: Terms,
+    /// The list's service is an agent of the node's own, and what it has counts as told at once.
+    pub list_is_pushed: bool,
     pub names: Names,
     pub zones: Vec<String>,
     /// A connection to a host that has not come up by then never will.
@@ -117,6 +119,7 @@
         }
         let zone = zones.get(usize::from(new.terms.zone.0)).map_or(new.terms.zone, |at| Zone(*at as u16));
         self.terms = Terms { traffic, zone, ..new.terms };
+        self.list_is_pushed = new.list_is_pushed;
         self.connect_limit = new.connect_limit;
         // Calls in hand keep the guard time that they came with.
         self.longest_guard = self.longest_guard.max(new.longest_guard);
@@ -128,9 +131,6 @@
     }
 }
 
-/// Where the settings do not say how often the list is to be asked for: what the platform's usually say.
-const WATCH_WITHIN: Span = Span::ms(10_000);
-
 /// How much is logged; a name of the program's own, as the platform says nothing of it.
 pub fn log_level() -> Result<LevelFilter, ConfigFault> {
     match std::env::var("GLENDECK_LOG") {
@@ -176,11 +176,8 @@
     // Danger: the settings promise message times, but lines between nodes and hosts carry none, and the
     // decisions would wait for them while hosts go under.
     let terms = Terms { message_times: false, ..glendeck_terms::terms(&pairs)? };
-    // Danger: nothing comes unasked on these sockets but what a watch brings, and a node that waited for a push
-    // would never hear of its hosts: it keeps its watch under either mode, as often as asked-for lists want it.
-    let ask_within =
-        terms.ask_within.map_or_else(|| pairs.span_or("safety.askWithinMs", WATCH_WITHIN), Ok)?;
-    let terms = Terms { ask_within: Some(ask_within), ..terms };
+    let list_is_pushed = terms.ask_within.is_none();
+    let terms = Terms { ask_within: Some(list::ask_within(terms.ask_within)), ..terms };
     let traffic = named(settings, "trafficTypes")?;
     let guards = (0..traffic.len()).map(|i| pairs.span(&format!("trafficTypes.{i}.guardTimeMs")));
     let longest_guard = guards.collect::<Result<Vec<_>, _>>()?.into_iter().max().unwrap_or_default();
@@ -208,6 +205,7 @@
         longest_guard,
         zones,
         terms,
+        list_is_pushed,
         known,
         folder: variable("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from),
     })
--- a/crates/node/src/conn.rs
+++ b/crates/node/src/conn.rs
@@ -32,6 +32,17 @@
     pub watched: Flags,
 }
 
+/// What a peer that was not read since shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Peer {
+    /// It waits.
+    Waits,
+    /// It has sent something more.
+    Spoke,
+    /// It has ended its side, or reset the connection.
+    Gone,
+}
+
 pub enum Got {
     Bytes(usize),
     NothingYet,
@@ -132,6 +143,22 @@
         }
     }
 
+    /// Looks at the peer without reading.
+    pub fn peer(&self) -> Peer {
+        if self.read_ended || self.broken {
+            return Peer::Gone;
+        }
+        loop {
+            return match net::recv(&self.fd, &mut [0u8; 1][..], RecvFlags::PEEK) {
+                Ok((_, 0)) => Peer::Gone,
+                Ok(_) => Peer::Spoke,
+                Err(Errno::INTR) => continue,
+                Err(Errno::AGAIN) => Peer::Waits,
+                Err(_) => Peer::Gone,
+            };
+        }
+    }
+
     /// Sends what the socket takes now. Danger: what did not go must not look as if it had, nor be counted from
     /// where a later line begins.
     pub fn flush(&mut self) -> Result<(), Errno> {
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -429,7 +429,7 @@
         if !std::mem::take(&mut self.handover.heir_serves) {
             return info!("the next process has gone");
         }
-        if matches!(self.phase, Phase::Leaving { .. } | Phase::Left) {
+        if matches!(self.phase, Phase::Leaving { .. } | Phase::Flushing | Phase::Left) {
             return;
         }
         warn!("the next process has gone: this one takes the clients again");
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -5,6 +5,7 @@
 
 use glendeck::domain::{CallId, Condition, Ending, Extent, HostId, LegNo, Listed, News, Span, Time};
 use rustc_hash::FxHashMap;
+use rustix::io::Errno;
 use tracing::{debug, warn};
 
 use crate::conn::{Conn, Got, MUCH};
@@ -142,12 +143,22 @@
         let Some(held) = self.calls.get_mut(id.0) else { return };
         let no = LegNo(held.legs);
         held.legs += 1;
+        if !self.client_waits(id) {
+            return self.ended.push_back(LegEnd { call: id, leg: no, ending: Ending::NeverSent, last: true });
+        }
         let limit = self.now + within;
-        let address = self.hosts.address(host);
-        let conn = address.and_then(|address| Conn::connect(address).ok());
-        let Some(conn) = conn.and_then(|conn| self.add_conn(conn, Role::Host(id))) else {
-            self.ended.push_back(LegEnd { call: id, leg: no, ending: Ending::Unreachable, last: false });
-            return;
+        let conn = match self.hosts.address(host).ok_or(Errno::ADDRNOTAVAIL).and_then(Conn::connect) {
+            Ok(conn) => self.add_conn(conn, Role::Host(id)).ok_or(Errno::MFILE),
+            Err(fault) => Err(fault),
+        };
+        let conn = match conn {
+            Ok(conn) => conn,
+            Err(fault) => {
+                // Danger: a want of descriptors here would make every host look bad.
+                let ours = matches!(fault, Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM);
+                let ending = if ours { Ending::NeverSent } else { Ending::Unreachable };
+                return self.ended.push_back(LegEnd { call: id, leg: no, ending, last: false });
+            }
         };
         self.legs_out += 1;
         if let Some(held) = self.calls.get_mut(id.0) {
@@ -176,17 +187,25 @@
         {
             // Danger: a connection that comes up late, or an intent that is kept late, would send something new to a host
             // that has begun to drain since the leg was decided on. One that was open there before belongs there.
-            if held.stage == Stage::Waiting && !self.hosts.is_ready(leg.host) {
+            let closed = held.stage == Stage::Waiting && !self.hosts.is_ready(leg.host);
+            if closed || !self.client_waits(call) {
                 self.end_leg(call, Ending::NeverSent, None);
                 return self.settle();
             }
-            leg.line_out = true;
-            let left = leg.limit.since(self.now);
-            line::encode_open(&held.line, &held.wait_at, left, &mut seat.conn.outbox);
+            self.send_line(id, call);
         }
         self.pump(id);
     }
 
+    fn send_line(&mut self, id: ConnId, call: CallId) {
+        let Some(seat) = self.conns.get_mut(id.0) else { return };
+        let Some(held) = self.calls.get_mut(call.0) else { return };
+        let Some(leg) = &mut held.leg else { return };
+        leg.line_out = true;
+        let left = leg.limit.since(self.now);
+        line::encode_open(&held.line, &held.wait_at, left, &mut seat.conn.outbox);
+    }
+
     /// Notes when the last byte of the line has gone: before that the host never ran it, after that it may have.
     pub fn note_line_gone(&mut self, call: CallId) {
         let Some(leg) = self.calls.get_mut(call.0).and_then(|held| held.leg.as_mut()) else { return };
@@ -253,6 +272,10 @@
             return;
         };
         let (host, left) = (*host, call.guard.since(self.now));
+        if !self.client_waits(id) {
+            self.forget_call(id);
+            return;
+        }
         let before = self.ended.len();
         self.open_leg(id, host, left);
         if self.ended.len() > before {
@@ -502,7 +525,11 @@
         }
     }
 
+    /// Danger: probes go out by the dozen, and one without a descriptor would tell of a host what is this node's fault.
     pub fn open_probe(&mut self, host: HostId) {
+        if !self.has_room_for_probe() {
+            return;
+        }
         let conn = self.hosts.address(host).and_then(|address| Conn::connect(address).ok());
         match conn.and_then(|conn| self.add_conn(conn, Role::Probe(host))) {
             Some(id) => {
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -1,4 +1,4 @@
-//! The host list: asked for once, or watched.
+//! The host list, watched: what it misses, and for how long at most.
 
 use std::net::SocketAddr;
 
@@ -28,39 +28,54 @@
     pub addresses: Vec<(HostId, SocketAddr)>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ask {
-    Watch,
-    Once,
-}
-
-/// How far the list is known, and which questions are out.
+/// How far the list is known, and the watch on it.
 #[derive(Default)]
 pub struct List {
     index: Option<u64>,
     /// Its service has answered since the start.
     pub heard: bool,
+    /// The line of the watch; without one, it is asked for again when the decisions say so.
     watch: Option<ConnId>,
-    once: Option<ConnId>,
     /// The watch fell silent and was opened anew, and nothing has come since.
     anew: bool,
-    /// What has come of the answer to each.
-    watched: Arriving,
-    fetched: Arriving,
+    /// What has come of the answer.
+    arriving: Arriving,
 }
 
 const PATH: &str = "/registry/instances";
 
-/// How long a watch may wait: each call costs the service work, and a line that died silently is noticed only
-/// after it.
-const WATCH: Span = Span::ms(20_000);
+/// A change counts as told so long after the list's service had it and could be reached, whatever failed meanwhile. This
+/// is the one bound on the list's age: a line that died silently is noticed when its watch should have ended and
+/// was not answered, and opened anew, and the answer to that may wait in the service's queue. Danger: watches of 20 s were
+/// noticed after 21.5 s, and calls went to hosts that had drained long before.
+const TOLD_WITHIN: Span = Span::ms(6_000);
+
+/// How long a watch may wait. Each call costs the service work: at 300 nodes 190 a second were all answered within their time
+/// (all six large days, three deployments). Each waits another part of it, or nodes whose watches end
+/// with one change would ask in step from then on.
+const WATCH: Span = Span::ms(2_000);
+const LEAST_WATCH: f64 = 0.6;
 
-/// Answers wait in the service's queue for up to 2 s or fail there; past this nothing will come. Danger: what a line that
-/// has fallen silent misses counts as told 6 s after: of 300 nodes one waited 4 s, then as long as refused ones spread
-/// their next question, and sent a call to a host that had drained 0.6 s before. One that may wait counts as told
-/// 2 s after its wait.
+/// A watch whose wait is over is answered at once; more is a line that has fallen silent.
+const AFTER_WAIT: Span = Span::ms(1_000);
+
+/// Answers wait in the service's queue for up to 2 s or fail there; past this nothing will come.
 const PATIENCE: Span = Span::ms(2_500);
-const AFTER_WAIT: Span = Span::ms(1_500);
+
+/// What is left is for the loop and the network; the grace that settings give comes on top.
+const _: () = assert!(WATCH.0 + AFTER_WAIT.0 + PATIENCE.0 <= TOLD_WITHIN.0 - 500_000_000);
+
+/// What the decisions spread first questions and wait between refused ones by, at the most. Where the list is asked for:
+/// refused questions are put again after 1.2 s at the latest, which leaves time for three in [`TOLD_WITHIN`]. Where it is pushed,
+/// what the node's agent has counts as told at once, and only the agent is asked: within a tenth of a second.
+const ASKED_WITHIN: Span = Span::ms(3_000);
+const PUSHED_WITHIN: Span = Span::ms(250);
+
+/// Within what time the list is to be asked for on sockets. Danger: nothing comes unasked here but what a watch
+/// brings, and a node that waited for a push would never hear of its hosts: a watch stands under either mode.
+pub fn ask_within(settings: Option<Span>) -> Span {
+    settings.map_or(PUSHED_WITHIN, |told| told.min(ASKED_WITHIN))
+}
 
 pub fn decode(json: &Value, zones: &[String]) -> Result<Told, ListFault> {
     let index = json.get("index").and_then(Value::as_u64).ok_or(ListFault::Missing("index"))?;
@@ -132,11 +147,11 @@
         self.tell(|node, port| node.list_told(now, Extent::Remembered, &known.lines, port));
     }
 
+    /// While a watch stands there is nothing to ask: what changes will be told, within [`TOLD_WITHIN`].
     pub fn begin_watch(&mut self) {
-        // While a watch goes on there is nothing to ask: what changes will be told.
         if self.list.watch.is_none() {
             // The first call does not wait: what is known may be old, and the answer says the watch stands.
-            self.list.watch = self.ask_list(Ask::Watch, Span::ZERO);
+            self.list.watch = self.ask_list(Span::ZERO);
             if self.list.watch.is_none() {
                 self.list_failures += 1;
             }
@@ -147,28 +162,18 @@
     /// known of the old one's must not be asked from, and an answer that is still on its way must not undo
     /// what the new one says. The old watch ends here, which is no failure; hosts stay until the new list.
     pub fn follow_elsewhere(&mut self) {
-        let old = std::mem::take(&mut self.list);
-        for id in [old.watch, old.once].into_iter().flatten() {
+        if let Some(id) = std::mem::take(&mut self.list).watch {
             self.drop_conn(id);
         }
         self.begin_watch();
     }
 
-    pub fn ask_once(&mut self) {
-        if self.list.once.is_none() {
-            self.list.once = self.ask_list(Ask::Once, Span::ZERO);
-        }
-    }
-
-    fn ask_list(&mut self, ask: Ask, wait: Span) -> Option<ConnId> {
-        match ask {
-            Ask::Watch => self.list.watched = Arriving::default(),
-            Ask::Once => self.list.fetched = Arriving::default(),
-        }
+    fn ask_list(&mut self, wait: Span) -> Option<ConnId> {
+        self.list.arriving = Arriving::default();
         match Conn::connect(self.startup.discovery) {
             Ok(conn) => {
-                let id = self.add_conn(conn, Role::List(ask, self.now))?;
-                self.put_question(id, ask, wait);
+                let id = self.add_conn(conn, Role::List(self.now))?;
+                self.put_question(id, wait);
                 Some(id)
             }
             Err(fault) => {
@@ -178,15 +183,15 @@
         }
     }
 
-    fn put_question(&mut self, id: ConnId, ask: Ask, wait: Span) {
-        let path = match (ask, self.list.index) {
-            (Ask::Watch, Some(index)) => format!("{PATH}?after={index}&wait_ms={}", wait.0 / 1_000_000),
+    fn put_question(&mut self, id: ConnId, wait: Span) {
+        let path = match self.list.index {
+            Some(index) => format!("{PATH}?after={index}&wait_ms={}", wait.0 / 1_000_000),
             _ => PATH.to_owned(),
         };
         let limit = self.now + wait + if wait > Span::ZERO { AFTER_WAIT } else { PATIENCE };
         let authority = self.startup.discovery.to_string();
         if let Some(seat) = self.conns.get_mut(id.0) {
-            seat.role = Role::List(ask, limit);
+            seat.role = Role::List(limit);
             http::encode_get(&path, &authority, &mut seat.conn.outbox);
         }
         self.deadlines.set(limit, Due::ListLimit(id));
@@ -194,35 +199,30 @@
     }
 
     pub fn list_limit(&mut self, id: ConnId) {
-        if let Some(Role::List(ask, limit)) = self.role(id)
+        if let Some(Role::List(limit)) = self.role(id)
             && self.now >= limit
         {
             warn!("discovery does not answer");
             // A line that has fallen silent is no refusal, and nodes' lines do so at moments of their own.
-            if ask == Ask::Watch && !std::mem::replace(&mut self.list.anew, true) {
-                self.drop_conn(id);
-                self.list.watch = None;
-                return self.begin_watch();
+            if std::mem::replace(&mut self.list.anew, true) {
+                return self.list_lost(id);
             }
-            self.list_lost(id, ask);
+            self.drop_conn(id);
+            self.list.watch = None;
+            self.begin_watch();
         }
     }
 
-    pub fn list_lost(&mut self, id: ConnId, ask: Ask) {
+    /// The one way in which a question fails: refused, broken, unreadable or never answered.
+    pub fn list_lost(&mut self, id: ConnId) {
         self.drop_conn(id);
-        match ask {
-            Ask::Watch => {
-                self.list.watch = None;
-                self.fleet_lost_list();
-                let now = self.now;
-                self.tell(|node, port| node.list_failed(now, port));
-            }
-            // The decisions ask again by themselves; that the watch has failed would be untrue.
-            Ask::Once => self.list.once = None,
-        }
+        self.list.watch = None;
+        self.fleet_lost_list();
+        let now = self.now;
+        self.tell(|node, port| node.list_failed(now, port));
     }
 
-    pub fn list_came(&mut self, id: ConnId, ask: Ask, got: Got) {
+    pub fn list_came(&mut self, id: ConnId, got: Got) {
         let ended = match got {
             Got::Bytes(n) => {
                 let Some(seat) = self.conns.get_mut(id.0) else { return };
@@ -233,17 +233,13 @@
             Got::End => true,
         };
         let Some(seat) = self.conns.get_mut(id.0) else { return };
-        let arriving = match ask {
-            Ask::Watch => &mut self.list.watched,
-            Ask::Once => &mut self.list.fetched,
-        };
-        let reply = match arriving.read(&mut seat.conn.inbox, ended) {
+        let reply = match self.list.arriving.read(&mut seat.conn.inbox, ended) {
             Ok(Some(reply)) if reply.status == 200 => reply,
             Ok(None) => return,
             other => {
                 let status = other.as_ref().ok().and_then(|reply| reply.as_ref().map(|reply| reply.status));
                 debug!(status, fault = ?other.err(), "a call for the list failed");
-                return self.list_lost(id, ask);
+                return self.list_lost(id);
             }
         };
         let json = serde_json::from_slice(&reply.body).map_err(|_| ListFault::Bad("JSON text"));
@@ -255,39 +251,31 @@
             }
             Err(fault) => {
                 warn!(%fault, "the list cannot be read");
-                return self.list_lost(id, ask);
+                return self.list_lost(id);
             }
         };
         // The next call goes out before anything is done with the news, so that the watch goes on.
-        // Danger: a service that began anew counts from the start again; its whole list, as the answer to a
-        // watch, is the newest there is, and a node that held on to its own version would never hear again.
-        self.list.anew &= ask != Ask::Watch;
-        let anew = ask == Ask::Watch && told.extent == Extent::Whole;
-        let mine = self.list.index.filter(|_| !anew);
-        self.list.index = mine.max(Some(told.index));
-        match ask {
-            Ask::Watch if reply.keeps_open && !ended => self.put_question(id, ask, WATCH),
-            Ask::Watch => {
-                self.drop_conn(id);
-                self.list.watch = self.ask_list(ask, WATCH);
-            }
-            Ask::Once => {
-                self.drop_conn(id);
-                self.list.once = None;
-            }
+        // Danger: a service that began anew counts from the start again; its whole list is the newest there is, and a
+        // node that held on to its own version would never hear again. Changes to an older list are none.
+        self.list.anew = false;
+        let whole = told.extent == Extent::Whole;
+        let mine = self.list.index.filter(|mine| !whole && told.index < *mine);
+        self.list.index = mine.or(Some(told.index));
+        let wait = WATCH.times(LEAST_WATCH + (1.0 - LEAST_WATCH) * self.chance());
+        if reply.keeps_open && !ended {
+            self.put_question(id, wait);
+        } else {
+            self.drop_conn(id);
+            self.list.watch = self.ask_list(wait);
         }
-        self.take_news(told, mine);
-        if ask == Ask::Watch && self.list.watch.is_none() {
+        self.take_news(if mine.is_some() { Told { lines: vec![], addresses: vec![], ..told } } else { told });
+        if self.list.watch.is_none() {
             let now = self.now;
             self.tell(|node, port| node.list_failed(now, port));
         }
     }
 
-    /// Danger: two questions may be out at once, and the older news must not undo the newer.
-    fn take_news(&mut self, mut told: Told, mine: Option<u64>) {
-        if mine.is_some_and(|mine| told.index < mine) {
-            told = Told { extent: Extent::Changes, lines: Vec::new(), addresses: Vec::new(), ..told };
-        }
+    fn take_news(&mut self, told: Told) {
         debug!(index = told.index, whole = told.extent == Extent::Whole, lines = told.lines.len(), "list");
         let left = self.hosts.learn(&told);
         self.list.heard = true;
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -16,7 +16,7 @@
 use tracing::{error, info, warn};
 
 use crate::admin::{CALLERS, Door};
-use crate::clients::FIRST_LINE;
+use crate::clients::{ACCEPT_AGAIN, FIRST_LINE};
 use crate::config::{self, Startup};
 use crate::conn::{self, Conn, Got, MUCH};
 use crate::deadlines::Deadlines;
@@ -25,7 +25,7 @@
 use crate::handover::{Handover, Inherited};
 use crate::hosts::Directory;
 use crate::line::{Answer, ClientId, LONGEST, Word};
-use crate::list::{Ask, List};
+use crate::list::List;
 use crate::reactor::{Flags, Reactor};
 use crate::slots::Slots;
 use crate::work::Kept;
@@ -58,6 +58,8 @@
     Leaving {
         until: Time,
     },
+    /// All has been answered: what was said still goes out.
+    Flushing,
     Left,
 }
 
@@ -72,7 +74,7 @@
     Host(CallId),
     Probe(HostId),
     /// A question for the list, and when its answer is given up.
-    List(Ask, Time),
+    List(Time),
     Closing,
     /// Someone at the operators' door.
     Admin,
@@ -90,6 +92,8 @@
     pub quiet_since: Time,
     /// Since when it is of no use to a call: it has opened none yet, or has had its last words.
     pub idle_since: Time,
+    /// It was not accepted at once: what it said first may have lain there since.
+    pub queued_since: Option<Time>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -196,7 +200,7 @@
     FirstLine(ConnId),
     Shut(ConnId),
     Accept,
-    /// The process before is not waited with any longer for the list.
+    /// The list is not waited for any longer.
     TakeOver,
     /// The line to the next process was full.
     HandOn,
@@ -209,6 +213,8 @@
     /// One connection goes from a host that the fleet wants out.
     Ease,
     Exit,
+    /// What was said last has had its time to go out.
+    Left,
 }
 
 /// Wall time at the start and steady time since: hosts tell their start in wall time, and what is due here
@@ -239,6 +245,8 @@
     pub deadlines: Deadlines<Due>,
     /// Until the front sends nothing more.
     pub listener: Option<OwnedFd>,
+    /// Since when connections may wait in its queue.
+    pub queued_since: Option<Time>,
     pub door: Door,
     pub handover: Handover,
     /// Its part in a fleet, if it is of one.
@@ -286,8 +294,12 @@
 pub const STORE: u64 = u64::MAX - 6;
 
 /// Standard streams, epoll, the listening socket, two ends for each of two signals, the socket for the next
-/// process, and one to accept with or to read the configuration from.
-const OWN: usize = 11;
+/// process, one to accept with or to read the configuration from, and one for the list. Danger: a list that was lost while
+/// idle clients held every descriptor could not be asked for again.
+const OWN: usize = 12;
+
+/// An agent on the node's own machine answers within milliseconds, or its service is down and it knows nothing new.
+const AGENT_PATIENCE: Span = Span::ms(1_000);
 
 /// The front goes on sending new clients for up to 0.4 s after the node was told to leave.
 const STILL_COMING: Span = Span::ms(450);
@@ -318,6 +330,10 @@
 /// The last clients are sent away this long before the exit, so that their connections end in peace.
 const LAST_MOVES: Span = Span::ms(500);
 
+/// After its last answers the process waits so long for its clients to end: the platform kills 0.3 s after the last answers, at
+/// the soonest.
+const FLUSH: Span = Span::ms(150);
+
 /// All clients go within this time before the last ones: as much as those of a leaving host get, and setups
 /// elsewhere are spread. Danger: in a rolling restart the node before this one may not be back yet, and
 /// clients sent away early have nowhere to go.
@@ -351,6 +367,7 @@
             reactor,
             deadlines: Deadlines::default(),
             listener: Some(listener),
+            queued_since: None,
             door,
             handover: Handover::default(),
             membership: None,
@@ -401,6 +418,9 @@
         }
         service.settle();
         service.join_fleet(machine.disk)?;
+        if service.startup.list_is_pushed {
+            service.deadlines.set(now + AGENT_PATIENCE, Due::TakeOver);
+        }
         service.ready_now();
         Ok(service)
     }
@@ -427,6 +447,9 @@
                 self.fell_due(due);
             }
             self.send_words();
+            if self.phase == Phase::Flushing && !self.has_peers_to_hear() {
+                self.left();
+            }
             self.slowest_turn = self.slowest_turn.max(self.clock.now().since(began));
         }
         Ok(())
@@ -434,7 +457,10 @@
 
     fn happened(&mut self, number: u64, flags: Flags) {
         match number {
-            LISTENER => return self.accept(),
+            LISTENER => {
+                self.accept();
+                return;
+            }
             DOOR => return self.accept_callers(),
             HEIRS => return self.accept_heir(),
             PEERS => return self.accept_peers(),
@@ -503,7 +529,7 @@
         }
     }
 
-    fn readable(&mut self, id: ConnId, flags: Flags) {
+    pub fn readable(&mut self, id: ConnId, flags: Flags) {
         let Some(seat) = self.conns.get_mut(id.0) else { return };
         if seat.conn.read_ended {
             // Nothing more can come: the peer has gone for good.
@@ -526,7 +552,7 @@
             Role::Client(call) => self.client_came(id, call, got),
             Role::Host(call) => self.host_came(id, call, got),
             Role::Probe(host) => self.probe_came(id, host, got),
-            Role::List(ask, _) => self.list_came(id, ask, got),
+            Role::List(_) => self.list_came(id, got),
             Role::Admin => self.caller_came(id, got),
             Role::Heir => self.heir_came(id, got),
             Role::Peer => self.peer_came(id, got),
@@ -549,7 +575,7 @@
             Role::Client(call) => self.client_left(id, call, true),
             Role::Host(call) => self.host_lost(call),
             Role::Probe(host) => self.probe_over(id, host, Ending::Unreachable),
-            Role::List(ask, _) => self.list_lost(id, ask),
+            Role::List(_) => self.list_lost(id),
             Role::Closing => self.drop_conn(id),
             Role::Admin => self.drop_caller(id),
             Role::Heir => self.heir_gone(id),
@@ -587,7 +613,7 @@
                     && seat.role == Role::Client(None)
                     && now.since(seat.quiet_since) >= FIRST_LINE
                 {
-                    self.drop_conn(id);
+                    self.end_idle(id);
                 }
             }
             Due::Shut(id) => {
@@ -609,6 +635,7 @@
             Due::Fleet => self.fleet_tick(),
             Due::Ease => self.ease_off(),
             Due::Exit => self.exit(),
+            Due::Left => self.left(),
         }
         self.settle();
     }
@@ -617,8 +644,9 @@
 
     /// It serves once it knows a host that is ready.
     pub fn ready_now(&mut self) {
-        let asks = self.startup.terms.ask_within.is_some();
-        let waits = asks && self.handover.follows() && !self.list.heard && !self.handover.waited;
+        // Danger: what an agent of the node's own has counts as told from its first moment.
+        let for_list = self.handover.follows() || self.startup.list_is_pushed;
+        let waits = for_list && !self.list.heard && !self.handover.waited;
         let waits = waits || self.waits_for_fleet();
         if self.phase == Phase::Starting && self.hosts.any_ready() && !waits {
             self.phase = Phase::Serving;
@@ -645,12 +673,13 @@
         !self.handover.waits() && !self.handover.is_replaced()
     }
 
-    /// Danger: what has come up in a listening socket's queue is reset with its close.
+    /// Danger: what has come up in a listening socket's queue is reset with its close. All of it is taken first, however
+    /// much that is, and as descriptors come free.
     fn stop_accepting(&mut self) {
         if matches!(self.phase, Phase::Leaving { .. }) && !self.handover.is_replaced() {
             // One that never served leaves the queue to the process before.
-            if self.accepts() {
-                self.accept();
+            if self.accepts() && !self.accept() {
+                return self.deadlines.set(self.now + ACCEPT_AGAIN, Due::StopAccepting);
             }
             self.listener = None;
         }
@@ -686,7 +715,7 @@
     }
 
     fn leave(&mut self) {
-        if matches!(self.phase, Phase::Leaving { .. } | Phase::Left) {
+        if matches!(self.phase, Phase::Leaving { .. } | Phase::Flushing | Phase::Left) {
             return;
         }
         let until = self.now + self.startup.longest_guard.min(LONGEST_LEAVE) + LEAVE_MORE;
@@ -730,7 +759,7 @@
             Phase::Draining { since } if self.now >= since + STILL_SENT => (self.now, since + EMPTY),
             _ => return,
         };
-        let (first, at) = (first.max(self.now + Span::ms(1)), f64::from(self.chance.generate::<f32>()));
+        let (first, at) = (first.max(self.now + Span::ms(1)), self.chance());
         let due = first + last.since(first).times(at);
         match self.phase {
             Phase::Draining { .. } => self.deadlines.set(due, Due::DrainMove(self.drains, call)),
@@ -760,7 +789,7 @@
             self.phase = Phase::Starting;
             self.ready_now();
         }
-        !matches!(self.phase, Phase::Replaced | Phase::Leaving { .. } | Phase::Left)
+        !matches!(self.phase, Phase::Replaced | Phase::Leaving { .. } | Phase::Flushing | Phase::Left)
     }
 
     /// Danger: what an earlier drain has set is still in the deadlines after its end, and after the next.
@@ -795,19 +824,47 @@
         }
     }
 
+    /// All that is in hand has its answer now. Danger: at the process's end what is still to be sent goes nowhere, and what
+    /// is unread resets its connection, and the answer before it with that.
     fn exit(&mut self) {
+        if matches!(self.phase, Phase::Flushing | Phase::Left) {
+            return;
+        }
         let left: Vec<CallId> = self.calls.iter().map(|(number, _)| CallId(number)).collect();
         for call in left {
             self.move_client(call, Ending::Recalled);
             // Its guard time is over by now, or it never had a leg.
-            if self.calls.get(call.0).is_some_and(|held| held.stage == Stage::Waiting) {
+            let unopened = |held: &Held| matches!(held.stage, Stage::Waiting | Stage::Returning);
+            if self.calls.get(call.0).is_some_and(unopened) {
                 let answer = self.calls.get(call.0).is_some_and(|held| held.legs == 0 && !held.looks());
                 self.answer_call(call, if answer { Answer::Busy(None) } else { Answer::Error });
             }
         }
-        self.leave_work();
-        info!("left");
-        self.phase = Phase::Left;
+        if self.accepts() && self.listener.is_some() {
+            self.accept();
+        }
+        self.listener = None;
+        let idle = self.conns.iter().filter(|(_, seat)| seat.role == Role::Client(None));
+        let idle: Vec<ConnId> = idle.map(|(number, _)| ConnId(number)).collect();
+        self.phase = Phase::Flushing;
+        idle.into_iter().for_each(|id| self.end_idle(id));
+        self.deadlines.set(self.now + FLUSH, Due::Left);
+    }
+
+    fn has_peers_to_hear(&self) -> bool {
+        self.conns.iter().any(|(_, seat)| matches!(seat.role, Role::Client(_) | Role::Closing))
+    }
+
+    fn left(&mut self) {
+        if self.phase == Phase::Flushing {
+            self.leave_work();
+            info!("left");
+            self.phase = Phase::Left;
+        }
+    }
+
+    pub fn chance(&mut self) -> f64 {
+        f64::from(self.chance.generate::<f32>())
     }
 
     // Sockets.
@@ -876,7 +933,7 @@
 
     pub fn add_conn(&mut self, conn: Conn, role: Role) -> Option<ConnId> {
         let (quiet_since, idle_since) = (self.now, self.now);
-        let id = ConnId(self.conns.insert(Seat { conn, role, quiet_since, idle_since }));
+        let id = ConnId(self.conns.insert(Seat { conn, role, quiet_since, idle_since, queued_since: None }));
         let seat = self.conns.get(id.0)?;
         if self.reactor.add(&seat.conn.fd, id.0, seat.conn.watched).is_err() {
             self.conns.remove(id.0);
@@ -1004,9 +1061,9 @@
         self.open_probe(host);
     }
 
-    fn fetch_list(&mut self) {
-        self.ask_once();
-    }
+    /// The watch brings whatever changes, and a lost one is opened again within its bound: a second question beside it
+    /// would tell nothing more, and be one for each node that doubts.
+    fn fetch_list(&mut self) {}
 
     fn follow_list(&mut self) {
         self.begin_watch();
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -28,8 +28,58 @@
     index: u64,
     entries: Vec<(u64, Value)>,
     down: bool,
-    /// So many questions are taken and never answered.
-    mute: u32,
+    /// What becomes of the next questions, the next one last.
+    spoilt: Vec<Spoilt>,
+    /// What becomes of watches that waited at the last change of it.
+    watches: (u32, Option<Spoilt>),
+}
+
+/// How a question for the list can go wrong.
+#[derive(Clone, Copy)]
+enum Spoilt {
+    /// It is taken and never answered.
+    Mute,
+    /// 503.
+    Refused,
+    Reset,
+    /// Half of the answer comes, and no more.
+    Half,
+    /// The answer goes on and on.
+    Endless,
+}
+
+impl Spoilt {
+    fn named(name: &str) -> Spoilt {
+        match name {
+            "mute" => Spoilt::Mute,
+            "refused" => Spoilt::Refused,
+            "reset" => Spoilt::Reset,
+            "half" => Spoilt::Half,
+            "endless" => Spoilt::Endless,
+            other => panic!("no way to spoil an answer: {other}"),
+        }
+    }
+
+    fn play(self, reader: &mut BufReader<TcpStream>, writer: &mut TcpStream) -> std::io::Result<()> {
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        match self {
+            Spoilt::Mute => {}
+            Spoilt::Refused => {
+                write!(writer, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")?
+            }
+            Spoilt::Reset => return set_socket_linger(&*writer, Some(Duration::ZERO)).map_err(Into::into),
+            Spoilt::Half => write!(writer, "{head}40\r\n{{\"index\":7,")?,
+            Spoilt::Endless => {
+                write!(writer, "{head}")?;
+                loop {
+                    write!(writer, "1\r\n \r\n")?;
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+            }
+        }
+        // Until the node ends it.
+        reader.read_line(&mut String::new()).map(drop)
+    }
 }
 
 type Shared = Arc<(Mutex<Registry>, Condvar)>;
@@ -37,6 +87,7 @@
 /// Answers calls on one connection until it ends or the service goes down.
 fn serve_list(stream: TcpStream, shared: &Shared) -> std::io::Result<()> {
     let (mut reader, mut writer) = (BufReader::new(stream.try_clone()?), stream);
+    let before = shared.0.lock().unwrap().watches.0;
     loop {
         let (mut first, mut line) = (String::new(), String::new());
         if reader.read_line(&mut first)? == 0 {
@@ -50,17 +101,24 @@
             rest[..rest.find(|c: char| !c.is_ascii_digit())?].parse().ok()
         };
         let (after, wait) = (number("after="), number("wait_ms=").unwrap_or(0));
-        let idle = |registry: &mut Registry| !registry.down && Some(registry.index) == after;
+        let idle = |registry: &mut Registry| {
+            !registry.down && registry.watches.0 == before && Some(registry.index) == after
+        };
         let mut guard = shared.0.lock().unwrap();
-        if guard.mute > 0 {
-            guard.mute -= 1;
+        if let Some(spoilt) = guard.spoilt.pop() {
             drop(guard);
-            return reader.read_line(&mut first).map(drop);
+            return spoilt.play(&mut reader, &mut writer);
         }
         let registry = shared.1.wait_timeout_while(guard, Duration::from_millis(wait), idle).unwrap().0;
         if registry.down {
             return Ok(());
         }
+        if let (now, Some(how)) = registry.watches
+            && now != before
+        {
+            drop(registry);
+            return how.play(&mut reader, &mut writer);
+        }
         let whole = after.is_none_or(|after| after > registry.index);
         let newer = |entry: &&(u64, Value)| whole || after < Some(entry.0);
         let entries: Vec<&Value> = registry.entries.iter().filter(newer).map(|entry| &entry.1).collect();
@@ -225,10 +283,11 @@
                "guardTimeMs": guard, "revenue": 1.0})
     };
     json!({
-        "caps": {"connectTimeoutMs": 200.0, "maxLegs": given.get("legs").map_or(4, |n| n.parse().unwrap()),
+        "caps": {"connectTimeoutMs": given.get("connect").map_or(200.0, |ms| ms.parse().unwrap()), "maxLegs": given.get("legs").map_or(4, |n| n.parse().unwrap()),
                  "mayCancel": true, "mayProbe": true, "retryAfter": true, "maxRetryAfterMs": 900.0},
-        "dcs": ["here"], "extra": {"groups": true, "messageAimMs": [100.0, null]}, "fleetSize": 1, "me": 0,
-        "membershipMode": "on_request", "myZone": 0, "projects": [{"name": "one"}, {"name": "two"}],
+        "dcs": ["here"], "extra": {"groups": true, "messageAimMs": [100.0, null]},
+        "fleetSize": given.get("fleet").map_or(1, |n| n.parse().unwrap()), "me": 0,
+        "membershipMode": given.get("list").unwrap_or(&"on_request"), "myZone": 0, "projects": [{"name": "one"}, {"name": "two"}],
         "safety": {"askWithinMs": 10000.0, "coldFrom": 0.2, "fallMs": 1000.0, "fallMultiple": 4.0,
                    "warmAfterMs": 20000.0},
         "tickMs": 5.0, "trafficTypes": [traffic("chat", "retryable"), traffic("pay", "fragile")],
@@ -251,11 +310,22 @@
             )
         };
         let mute = given.get("mute").map_or(0, |n| n.parse().unwrap());
-        let registry = Registry { index: 1, entries: names.iter().map(entry).collect(), down: false, mute };
+        let entries: Vec<(u64, Value)> = names.iter().map(entry).collect();
+        let spoilt = vec![Spoilt::Mute; mute];
+        let mut registry = Registry { index: 1, entries: entries.clone(), spoilt, ..Registry::default() };
         let known: Vec<&Value> = match given.get("known") {
             Some(&"none") => vec![],
-            _ => registry.entries.iter().map(|entry| &entry.1).collect(),
+            _ => entries.iter().map(|entry| &entry.1).collect(),
         };
+        // What has begun to drain since the node last heard.
+        for entry in registry
+            .entries
+            .iter_mut()
+            .filter(|entry| given.get("drains") == entry.1["name"].as_str().as_ref())
+        {
+            (registry.index, entry.0) = (2, 2);
+            entry.1["status"] = "terminating".into();
+        }
         let index = if known.is_empty() { 0 } else { 1 };
         let discovery = loopback();
         let ((fd, listen), (other_fd, admin)) = (reserve(), reserve());
@@ -622,6 +692,44 @@
                 let weight: f64 = weight.parse().unwrap();
                 self.change(name, |entry| entry["weight"] = weight.into());
             }
+            ["list", "within", most] => {
+                let took = self.asked.elapsed().as_secs_f64();
+                assert!(took <= most.parse().unwrap(), "the list took {took} s, not {most}");
+            }
+            // What happens while it is stopped lies there when it goes on, in this order.
+            ["stop"] => {
+                kill_process(Pid::from_child(&self.child), Signal::STOP).unwrap();
+                let stat = format!("/proc/{}/stat", self.child.id());
+                let until = Instant::now() + PATIENCE;
+                while !std::fs::read_to_string(&stat).unwrap().contains(") T ") {
+                    assert!(Instant::now() < until, "it does not stop");
+                    std::thread::yield_now();
+                }
+            }
+            ["go"] => kill_process(Pid::from_child(&self.child), Signal::CONT).unwrap(),
+            // Its queue is full: what connects now comes up later.
+            ["host", name, "full"] => {
+                net::listen(&self.hosts[*name], 0).unwrap();
+                let address = self.hosts[*name].local_addr().unwrap();
+                self.slow.push(TcpStream::connect(address).unwrap());
+            }
+            // What came after that comes up now, and is not read yet.
+            ["host", name, "takes", client] => {
+                drop(self.accept(name));
+                let conn = self.accept(name);
+                self.legs.insert((*client).to_owned(), conn);
+            }
+            // Until so long after the last opening, saying, ending or `term`.
+            ["until", s] => {
+                let at = self.asked + Duration::from_secs_f64(s.parse().unwrap());
+                std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            }
+            ["clients", count, "hear", rest @ ..] => {
+                for name in 0..count.parse::<u32>().unwrap() {
+                    let name = (100 + name).to_string();
+                    self.play(&[&["client", &name, "hears"], rest].concat());
+                }
+            }
             ["list", name, status] => self.change(name, |entry| entry["status"] = (*status).into()),
             ["discovery", "anew"] => {
                 let mut registry = self.registry.0.lock().unwrap();
@@ -629,6 +737,21 @@
                 registry.entries.iter_mut().for_each(|entry| entry.0 = 0);
                 self.registry.1.notify_all();
             }
+            ["discovery", "watches", how] => {
+                let mut registry = self.registry.0.lock().unwrap();
+                registry.watches = (registry.watches.0 + 1, Some(Spoilt::named(how)));
+                drop(registry);
+                self.registry.1.notify_all();
+                self.asked = Instant::now();
+            }
+            ["discovery", "spoils", how @ ..] => {
+                let spoilt = how.iter().rev().map(|name| Spoilt::named(name)).collect();
+                self.registry.0.lock().unwrap().spoilt = spoilt;
+            }
+            ["discovery", "up"] => {
+                self.registry.0.lock().unwrap().down = false;
+                self.asked = Instant::now();
+            }
             ["discovery", "down"] => {
                 self.registry.0.lock().unwrap().down = true;
                 self.registry.1.notify_all();
@@ -647,7 +770,7 @@
                 self.play(&["discovery", "down"]);
                 let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
                 self.told["discovery"] = discovery.local_addr().unwrap().to_string().into();
-                self.registry = serve_lists(discovery, Registry { index: 0, entries, down: false, mute: 0 });
+                self.registry = serve_lists(discovery, Registry { entries, ..Registry::default() });
                 std::fs::write(&self.config, self.told.to_string()).unwrap();
                 kill_process(Pid::from_child(&self.child), Signal::HUP).unwrap();
                 self.asked = Instant::now();
@@ -733,6 +856,16 @@
 #[test_case("upgrade_crowd"; "a crowd and slow callers keep nobody from taking over")]
 #[test_case("upgrade_drained"; "a drain holds across a replacement")]
 #[test_case("discovery"; "a node goes on without the list's service")]
+#[test_case("gone"; "for a client that has gone no attempt begins, wherever its end was met")]
+#[test_case("gone_between"; "a client that goes as its attempt fails has no further one")]
+#[test_case("spoke_on"; "a client that speaks as its attempt fails has an answer and no further attempt")]
+#[test_case("gone_late"; "a connection that comes up after its client has gone carries nothing")]
+#[test_case("left_queue"; "whoever was in the queue when a leaving node stops accepting has an answer")]
+#[test_case("crowd_speaks"; "an idle client whose line lies there is not closed to make room")]
+#[test_case("queued"; "a client that waited to be accepted has waited")]
+#[test_case("list_age"; "whatever befalls the list, a change is known within six seconds")]
+#[test_case("list_crowd"; "idle clients that fill the descriptors keep nobody from asking for the list")]
+#[test_case("pushed"; "what the node's agent has counts from its first moment")]
 #[test_case("silent_list"; "a list question that is never answered is put again before hosts drain")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
@@ -753,7 +886,7 @@
         }
     }
     // Those that write calls in other ways than `opens`.
-    if !["garbage", "rude", "splits", "door"].contains(&name) {
+    if !["garbage", "rude", "splits", "door", "crowd_speaks"].contains(&name) {
         world.expect("a scenario starts a node").check_figures();
     }
 }
