--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -38,6 +38,8 @@
     watch: Option<ConnId>,
     /// The watch fell silent and was opened anew, and nothing has come since.
     anew: bool,
+    /// The decisions know that the watch stands.
+    stands: bool,
     /// What has come of the answer.
     arriving: Arriving,
 }
@@ -218,6 +220,7 @@
     pub fn list_lost(&mut self, id: ConnId) {
         self.drop_conn(id);
         self.list.watch = None;
+        self.list.stands = false;
         self.fleet_lost_list();
         let now = self.now;
         self.tell(|node, port| node.list_failed(now, port));
@@ -271,6 +274,7 @@
         }
         self.take_news(if mine.is_some() { Told { lines: vec![], addresses: vec![], ..told } } else { told });
         if self.list.watch.is_none() {
+            self.list.stands = false;
             let now = self.now;
             self.tell(|node, port| node.list_failed(now, port));
         }
@@ -282,7 +286,12 @@
         self.list.heard = true;
         let now = self.now;
         let lines: Vec<Listed> = told.lines.iter().map(|line| self.hosts.overlaid(line)).collect();
-        self.tell(|node, port| node.list_told(now, told.extent, &lines, port));
+        // A watch that ends with nothing new is no event: for it the decisions would go through all hosts and all
+        // waiting calls every second.
+        let known = std::mem::replace(&mut self.list.stands, true);
+        if !known || told.extent == Extent::Whole || !lines.is_empty() {
+            self.tell(|node, port| node.list_told(now, told.extent, &lines, port));
+        }
         for host in left {
             self.send_clients_away(host);
         }
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -878,6 +878,7 @@
 #[test_case("gone_between"; "a client that goes as its attempt fails has no further one")]
 #[test_case("spoke_on"; "a client that speaks as its attempt fails has an answer and no further attempt")]
 #[test_case("gone_late"; "a connection that comes up after its client has gone carries nothing")]
+#[test_case("late_drain"; "a connection that comes up after its host began to drain carries nothing")]
 #[test_case("left_queue"; "whoever was in the queue when a leaving node stops accepting has an answer")]
 #[test_case("crowd_speaks"; "an idle client whose line lies there is not closed to make room")]
 #[test_case("queued"; "a client that waited to be accepted has waited")]
