--- a/src/rules.rs
+++ b/src/rules.rs
@@ -259,7 +259,7 @@
     fn newcomer_may_warm(&self, no: usize, host: usize) -> bool {
         let call = &self.calls[no].call;
         // A hundredth: fewer than a new client in 100 s says nothing of how many there are.
-        let part = (self.rates.held * self.warming_fill(host)).min(0.15 * self.warming_bound(host));
+        let part = (self.rates.held * self.warming_fill(host)).min(0.1 * self.warming_bound(host));
         let part = part / self.rates.arrival.max(0.01);
         let draw = draw(call.id.0, self.hosts[host].id.0 ^ u64::from(self.terms.me));
         !call.returning && !call.mid_flow && draw < self.terms.many().powi(2) * part
@@ -852,7 +852,7 @@
                 // Danger: in a rush all nodes use theirs in full: 32 pushed a host over, each by one call.
                 let usual = self.terms.many() * self.rates.held * self.warming_fill(host);
                 let rate = arrive.max(self.calm().max(0.67 * warmth) * usual);
-                let rate = rate.min(0.5 * self.warming_bound(host));
+                let rate = rate.min(0.6 * self.warming_bound(host));
                 self.hosts[host].save_up(rate, window, self.now);
             }
         }
@@ -866,9 +866,9 @@
         3.0 * warming.multiple * self.hosts[host].nominal.0 / warming.after.seconds().max(1e-9)
     }
 
-    /// This node's part of what a cold host stands of all nodes together a second. Half of it is for budgets:
+    /// This node's part of what a cold host stands of all nodes together. Six tenths are for budgets:
     /// they come due evenly and lapse after half a window, so a window meets one and a half times their rate.
-    /// 0.15 is for new clients, who come by chance and in bursts.
+    /// A tenth is for new clients, who come by chance and in bursts.
     fn warming_bound(&self, host: usize) -> f64 {
         let nodes = f64::from(self.terms.nodes.max(1));
         let allowed = self.warming_fill(host) / 3.0 * self.warmth(host) * self.rates.held * nodes;
--- a/tests/cold_fleet.rs
+++ b/tests/cold_fleet.rs
@@ -323,10 +323,10 @@
 #[test_case(30)]
 fn all_processes_together_keep_a_cold_host_up(nodes: usize) {
     let mut broken = 0;
-    for seed in 1..=20 {
+    for seed in 1..=100 {
         let (worst, what) = worst_of_a_day(seed, nodes);
         println!("{nodes} nodes, seed {seed}: {worst:.2}, {what}");
         broken += u32::from(worst > 1.0);
     }
-    assert_eq!(broken, 0, "{nodes} nodes: of 20 days so many broke the bound");
+    assert_eq!(broken, 0, "{nodes} nodes: of 100 days so many broke the bound");
 }
