Cold hosts of up to 30 processes: budgets start at even steps and get the whole bound

Cause: the first budgets of 12 to 30 nodes lay closer together than a whole call (first_budget was made for hundreds and for a few), so most came due about six seconds after the start at once: there the worst windows of tests/cold_fleet.rs stood, and the rate had to be kept low for them. Now they start at even steps over a whole call, and may come due at the rate of the bound itself.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -852,7 +852,7 @@
                 // Danger: in a rush all nodes use theirs in full: 32 pushed a host over, each by one call.
                 let usual = self.terms.many() * self.rates.held * self.warming_fill(host);
                 let rate = arrive.max(self.calm().max(0.67 * warmth) * usual);
-                let rate = rate.min(0.6 * self.warming_bound(host));
+                let rate = rate.min(self.warming_bound(host));
                 self.hosts[host].save_up(rate, window, self.now);
             }
         }
@@ -866,9 +866,9 @@
         3.0 * warming.multiple * self.hosts[host].nominal.0 / warming.after.seconds().max(1e-9)
     }
 
-    /// This node's part of what a cold host stands of all nodes together. Six tenths are for budgets:
-    /// they come due evenly and lapse after half a window, so a window meets one and a half times their rate.
-    /// A tenth is for new clients, who come by chance and in bursts.
+    /// This node's part of what a cold host stands of all nodes together, told by what hosts hold where half
+    /// of them is free. Budgets come due at even steps and lapse after half a window, which leaves room for a
+    /// tenth as much by new clients, who come by chance and in bursts.
     fn warming_bound(&self, host: usize) -> f64 {
         let nodes = f64::from(self.terms.nodes.max(1));
         let allowed = self.warming_fill(host) / 3.0 * self.warmth(host) * self.rates.held * nodes;
@@ -1135,7 +1135,7 @@
     /// window. Each starts another part of a call below zero; of many nodes, below one.
     fn first_budget(&self, host: HostId) -> f64 {
         let turn = f64::from(self.terms.me) / f64::from(self.terms.nodes.max(1));
-        let many = self.terms.many();
+        let many = self.terms.many().max(self.terms.bound_together());
         many * (turn + draw(host.0, 0)).fract() - (1.0 - many) * turn
     }
 
