Opening an attempt's connection is one chain of steps, not two matches

Found on reading the change over; behaviour stays. Ruled out as worth a change: tests/cold_fleet.rs shares the shape of a random time with crates/takeover/tests/estates.rs and of a Port that notes what it is told with tests/lost_node.rs, which hold unlike worlds.

--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -147,11 +147,8 @@
             return self.ended.push_back(LegEnd { call: id, leg: no, ending: Ending::NeverSent, last: true });
         }
         let limit = self.now + within;
-        let conn = match self.hosts.address(host).ok_or(Errno::ADDRNOTAVAIL).and_then(Conn::connect) {
-            Ok(conn) => self.add_conn(conn, Role::Host(id)).ok_or(Errno::MFILE),
-            Err(fault) => Err(fault),
-        };
-        let conn = match conn {
+        let conn = self.hosts.address(host).ok_or(Errno::ADDRNOTAVAIL).and_then(Conn::connect);
+        let conn = match conn.and_then(|conn| self.add_conn(conn, Role::Host(id)).ok_or(Errno::MFILE)) {
             Ok(conn) => conn,
             Err(fault) => {
                 // Danger: a want of descriptors here would make every host look bad.
