Show a drain that never moves what the replaced process holds

Cause: an order to drain that reaches the new process of an upgrade moves only its own connections; those of the old one go over at SIGTERM, after the drain's timers, and stay for good. Change: review/10, a script with an upgrade, a drain at the new process and SIGTERM 5.5 s after its start.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review-2/release/review-case ] && [ -x target/release/glendeck-node ] || exit 2
-exec target/review-2/release/review-case dropped-class "$folder"
+exec target/review-2/release/review-case upgrade-drain "$folder"
--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -3,8 +3,6 @@
 mod dropped_class;
 mod log_collector;
 mod log_stall;
-mod marks;
-mod same_id;
 mod shorter_guard;
 mod upgrade_drain;
 
@@ -18,7 +16,7 @@
 use crate::client::{Client, State};
 use crate::config::{Class, Config};
 use crate::discovery::Discovery;
-use crate::host::{Does, Host};
+use crate::host::Host;
 use crate::node::{Node, TempFolder, free_address, until_ready};
 use crate::record::Record;
 
@@ -26,11 +24,9 @@
     match case {
         "shorter-guard" => shorter_guard::play(record, has_trouble),
         "dropped-class" => dropped_class::play(record, has_trouble),
-        "same-id" => same_id::play(record, has_trouble),
         "upgrade-drain" => upgrade_drain::play(record, has_trouble),
         "log-collector" => log_collector::play(record, has_trouble),
         "log-stall" => log_stall::play(record, has_trouble),
-        "marks" => marks::play(record, has_trouble),
         other => Err(io::Error::other(format!("no case {other}"))),
     }
 }
@@ -39,21 +35,19 @@
 pub struct World {
     pub root: PathBuf,
     pub folder: TempFolder,
-    pub hosts: Vec<Host>,
     pub discovery: Discovery,
     pub listen: SocketAddr,
 }
 
 impl World {
-    pub fn create(record: &Record, host_count: usize, does: Does) -> io::Result<World> {
+    pub fn create(record: &Record, host_count: usize) -> io::Result<World> {
         let hosts: Vec<Host> = (0..host_count)
-            .map(|number| Host::start(record, &format!("s-{number}"), does))
+            .map(|number| Host::start(record, &format!("s-{number}")))
             .collect::<io::Result<_>>()?;
         let discovery = Discovery::start(hosts.iter().map(|host| host.entry("in_service")).collect())?;
         Ok(World {
             root: std::env::current_dir()?,
             folder: TempFolder::create()?,
-            hosts,
             discovery,
             listen: free_address()?,
         })
@@ -61,17 +55,10 @@
 
     pub fn config(&self, classes: &[Class]) -> Config {
         Config {
-            name: "n0".into(),
             listen: self.listen,
             discovery: self.discovery.address,
             known: self.discovery.known(),
             classes: classes.to_vec(),
-            nodes: 1,
-            me: 0,
-            marks_retry: true,
-            connect_timeout_ms: 200,
-            max_legs: 4,
-            fleet: None,
         }
     }
 
--- a/review/standins-2/src/cases/dropped_class.rs
+++ b/review/standins-2/src/cases/dropped_class.rs
@@ -8,7 +8,6 @@
 use crate::Verdict;
 use crate::client::State;
 use crate::config::Class;
-use crate::host::Does;
 use crate::node::until;
 use crate::record::Record;
 
@@ -18,7 +17,7 @@
 const CLIENTS: u64 = 20;
 
 pub fn play(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
-    let world = World::create(record, 3, Does::UpAfterMs(5))?;
+    let world = World::create(record, 3)?;
     let all = [Class::repeatable("slot-feed", 800, GUARD_MS), Class::repeatable("wait-board", 800, GUARD_MS)];
     world.config(&all).write(&world.config_path())?;
     let (mut old, _) = world.start_ready(record, "old")?;
--- a/review/standins-2/src/cases/log_collector.rs
+++ b/review/standins-2/src/cases/log_collector.rs
@@ -8,7 +8,6 @@
 use crate::Verdict;
 use crate::client::State;
 use crate::config::Class;
-use crate::host::Does;
 use crate::node::{Node, free_address, ping, until, until_ready};
 use crate::record::Record;
 
@@ -18,7 +17,7 @@
 const CLIENTS: u64 = 20;
 
 pub fn play(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
-    let world = World::create(record, 3, Does::UpAfterMs(5))?;
+    let world = World::create(record, 3)?;
     world.config(&[Class::repeatable("slot-feed", 800, GUARD_MS)]).write(&world.config_path())?;
     let door = free_address()?;
     let (mut node, mut collector) = Node::start_with_collector(
--- a/review/standins-2/src/cases/log_stall.rs
+++ b/review/standins-2/src/cases/log_stall.rs
@@ -8,7 +8,6 @@
 use crate::Verdict;
 use crate::client::{Client, State};
 use crate::config::Class;
-use crate::host::Does;
 use crate::node::{Node, free_address, until_ready};
 use crate::record::Record;
 
@@ -16,7 +15,7 @@
 const CLIENTS: u64 = 400;
 
 pub fn play(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
-    let world = World::create(record, 3, Does::UpAfterMs(5))?;
+    let world = World::create(record, 3)?;
     world.config(&[Class::repeatable("slot-feed", 800, GUARD_MS)]).write(&world.config_path())?;
     let door = free_address()?;
     let (_node, collector) = Node::start_with_collector(
--- a/review/standins-2/src/cases/shorter_guard.rs
+++ b/review/standins-2/src/cases/shorter_guard.rs
@@ -8,7 +8,6 @@
 use crate::Verdict;
 use crate::client::State;
 use crate::config::Class;
-use crate::host::Does;
 use crate::record::Record;
 
 const OLD_GUARD_MS: u64 = 3_200;
@@ -18,7 +17,7 @@
 const CLIENTS: u64 = 60;
 
 pub fn play(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
-    let world = World::create(record, 3, Does::UpAfterMs(5))?;
+    let world = World::create(record, 3)?;
     let queue_pos = Class::repeatable("queue-pos", 500, NEW_GUARD_MS);
     let old = [Class::repeatable("slot-feed", 800, OLD_GUARD_MS), queue_pos.clone()];
     let new = [Class::repeatable("slot-feed", 500, NEW_GUARD_MS), queue_pos];
--- a/review/standins-2/src/cases/upgrade_drain.rs
+++ b/review/standins-2/src/cases/upgrade_drain.rs
@@ -8,7 +8,6 @@
 use crate::Verdict;
 use crate::client::State;
 use crate::config::Class;
-use crate::host::Does;
 use crate::node::{admin, ping};
 use crate::record::Record;
 
@@ -17,7 +16,7 @@
 const TERM_WITHIN: Duration = Duration::from_millis(5_500);
 
 pub fn play(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
-    let world = World::create(record, 3, Does::UpAfterMs(5))?;
+    let world = World::create(record, 3)?;
     world.config(&[Class::repeatable("slot-feed", 800, GUARD_MS)]).write(&world.config_path())?;
     let (old, old_admin) = world.start_ready(record, "old")?;
     let clients = world.open_clients(record, "slot-feed", 1, 10, GUARD_MS)?;
