--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -168,6 +168,9 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
+        if self.exit_code().is_none() {
+            self.record.note(format!("the test is over and ends node process {}", self.name));
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
         note_ended(&self.child);
