Let a drain hold for all processes of a node, whichever is told of it

Cause: a drain was a phase of one process. The handover told a successor once that its predecessor was draining; later orders reached the other process in neither direction, the drain's timers found the calls of their own process only, and adopted calls had no timer. The same cause lost an order given before the new process serves (at either one), brought the node back when the new process died, let the old process activate itself beside the new one, and let leaving and replacement forget the drain's times. Change: the drain is a state of the node beside the process's phase, with the time since the order. The process that carries an order out tells its predecessor and successor (DRAINING, ACTIVE), which pass it on; the state has drain_ns and follows_drain. A process of the last landing says nothing of follows_drain and is told nothing, as it would close the connection. A replaced process refuses orders with 409. A node counts as drained once its predecessor has no connections either. Tests: scenarios upgrade_drain, upgrade_drain_early and drain_ended. The unit test of phase names covers each phase with and without a drain, as Draining is no phase any more; the tests of the state check the time of the drain in place of a flag.

--- a/crates/node/src/admin/routes.rs
+++ b/crates/node/src/admin/routes.rs
@@ -94,15 +94,19 @@
     }
 
     fn readiness(&self) -> Reply {
-        let ready = self.phase == Phase::Serving;
+        let ready = self.phase == Phase::Serving && !self.is_draining();
         let status = if ready { Status::Ok } else { Status::ServiceUnavailable };
-        Reply::new(status, &Readiness { phase: self.phase.name(), ready })
+        Reply::new(status, &Readiness { phase: self.phase_name(), ready })
     }
 
     fn change_phase(&mut self, path: &str, change: impl FnOnce(&mut Service) -> bool) -> Reply {
-        info!(path, phase = self.phase.name(), "request of an operator");
+        info!(path, phase = self.phase_name(), "request of an operator");
         let done = change(self);
-        Reply::new(done_status(done), &PhaseChange { done, phase: self.phase.name() })
+        Reply::new(done_status(done), &PhaseChange { done, phase: self.phase_name() })
+    }
+
+    fn phase_name(&self) -> &'static str {
+        self.phase.name(self.is_draining())
     }
 }
 
@@ -120,12 +124,13 @@
 }
 
 impl Phase {
-    /// The phase's name in the admin interface.
-    pub(super) fn name(self) -> &'static str {
+    /// The phase's name in the admin interface. A process that accepts clients, or will, is named by the
+    /// node's drain.
+    pub(super) fn name(self, is_draining: bool) -> &'static str {
         match self {
+            Phase::Starting | Phase::Serving if is_draining => "draining",
             Phase::Starting => "starting",
             Phase::Serving => "serving",
-            Phase::Draining { .. } => "draining",
             Phase::Replaced => "replaced",
             Phase::Leaving { .. } | Phase::Flushing => "leaving",
             Phase::Left => "left",
--- a/crates/node/src/admin/tests.rs
+++ b/crates/node/src/admin/tests.rs
@@ -19,22 +19,21 @@
 fn phases_have_their_recorded_names() {
     let at = Time(0);
     let phases = [
-        (Phase::Starting, "starting"),
-        (Phase::Serving, "serving"),
-        (Phase::Draining { since: at }, "draining"),
-        (Phase::Replaced, "replaced"),
-        (Phase::Leaving { until: at }, "leaving"),
-        (Phase::Flushing, "leaving"),
-        (Phase::Left, "left"),
+        (Phase::Starting, "starting", "draining"),
+        (Phase::Serving, "serving", "draining"),
+        (Phase::Replaced, "replaced", "replaced"),
+        (Phase::Leaving { until: at }, "leaving", "leaving"),
+        (Phase::Flushing, "leaving", "leaving"),
+        (Phase::Left, "left", "left"),
     ];
-    for (phase, name) in phases {
-        assert_eq!(phase.name(), name);
+    for (phase, in_service, draining) in phases {
+        assert_eq!((phase.name(false), phase.name(true)), (in_service, draining));
     }
 }
 
 fn replies() -> Vec<(Reply, bool)> {
-    let serving = Phase::Serving.name();
-    let replaced = Phase::Replaced.name();
+    let serving = Phase::Serving.name(false);
+    let replaced = Phase::Replaced.name(false);
     let id = RequestId("ab".to_owned());
     let answered = |result| result_reply(&id, &RequestResult::Answered(result), None);
     vec![
--- a/crates/node/src/clients/requests.rs
+++ b/crates/node/src/clients/requests.rs
@@ -6,7 +6,6 @@
 use super::{FIRST_LINE_TIMEOUT, MIN_IDLE_TIME};
 use crate::call::{CallStage, InFlightCall};
 use crate::connection::ReadOutcome;
-use crate::lifecycle::Phase;
 use crate::metrics::Outcome;
 use crate::protocol::{self, Answer, ClientMessage, OpenRequest};
 use crate::service::Service;
@@ -88,7 +87,7 @@
             self.metrics.count(request.traffic, Outcome::Failure);
             return self.answer_client(connection, Answer::Error);
         }
-        let is_leaving = self.is_leaving_without_successor();
+        let is_leaving = !self.accepts_calls();
         if is_leaving || !self.has_room_for_call() {
             let retry_after = self.config.settings.retry_after.map(|longest| longest.min(MAX_BUSY_RETRY));
             debug!(is_leaving, "call refused: the node is leaving or short of descriptors");
@@ -104,10 +103,6 @@
         self.place_call(id, must_look_up);
     }
 
-    fn is_leaving_without_successor(&self) -> bool {
-        matches!(self.phase, Phase::Leaving { .. } | Phase::Flushing) && !self.takes_clients()
-    }
-
     fn insert_call(
         &mut self,
         connection: ConnectionId,
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -213,7 +213,7 @@
     fn node_status(&self) -> NodeStatus {
         let totals = self.metrics.totals();
         NodeStatus {
-            serving: self.phase == Phase::Serving,
+            serving: self.phase == Phase::Serving && !self.is_draining(),
             drained: self.is_drained(),
             calls: totals.calls,
             failed: totals.failed,
--- a/crates/node/src/handover/message.rs
+++ b/crates/node/src/handover/message.rs
@@ -7,14 +7,14 @@
 use std::fmt::{self, Display, Formatter};
 use std::str::FromStr;
 
-use glendeck::domain::HostId;
+use glendeck::domain::{HostId, Span};
 use serde::{Deserialize, Serialize};
 
 use super::hex::{HexBytes, HexError};
 
 /// Error from parsing a line of the other process.
 #[derive(Debug, thiserror::Error)]
-pub(super) enum MessageError {
+pub(crate) enum MessageError {
     /// The line is from another version, or damaged.
     #[error("unknown message")]
     Unknown,
@@ -43,6 +43,40 @@
     }
 }
 
+/// A change of the node's drain. The process that carries it out first sends it to the other ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DrainChange {
+    /// The node drains.
+    Started {
+        /// Time since the start of the drain.
+        elapsed: Span,
+    },
+    /// The node is in service again.
+    Ended,
+}
+
+impl Display for DrainChange {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            DrainChange::Started { elapsed } => write!(formatter, "DRAINING {}", elapsed.0),
+            DrainChange::Ended => formatter.write_str("ACTIVE"),
+        }
+    }
+}
+
+impl FromStr for DrainChange {
+    type Err = MessageError;
+
+    fn from_str(line: &str) -> Result<DrainChange, MessageError> {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words[..] {
+            ["DRAINING", elapsed] => Ok(DrainChange::Started { elapsed: Span(elapsed.parse()?) }),
+            ["ACTIVE"] => Ok(DrainChange::Ended),
+            _ => Err(MessageError::Unknown),
+        }
+    }
+}
+
 /// A message from a successor to its predecessor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum SuccessorMessage {
@@ -52,15 +86,19 @@
     Serving,
     /// The successor was itself replaced: after its exit, another process accepts clients.
     Succeeded,
+    /// The node's drain has changed. Sent only to a predecessor whose state says that it follows such
+    /// changes: one of an early version would close the connection.
+    Drain(DrainChange),
 }
 
 impl Display for SuccessorMessage {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
-            SuccessorMessage::Hello => "HEIR 1",
-            SuccessorMessage::Serving => "SERVING",
-            SuccessorMessage::Succeeded => "SUCCEEDED",
-        })
+        match self {
+            SuccessorMessage::Hello => formatter.write_str("HEIR 1"),
+            SuccessorMessage::Serving => formatter.write_str("SERVING"),
+            SuccessorMessage::Succeeded => formatter.write_str("SUCCEEDED"),
+            SuccessorMessage::Drain(change) => change.fmt(formatter),
+        }
     }
 }
 
@@ -72,7 +110,7 @@
             "HEIR 1" => Ok(SuccessorMessage::Hello),
             "SERVING" => Ok(SuccessorMessage::Serving),
             "SUCCEEDED" => Ok(SuccessorMessage::Succeeded),
-            _ => Err(MessageError::Unknown),
+            other => other.parse().map(SuccessorMessage::Drain),
         }
     }
 }
@@ -128,6 +166,8 @@
     Call(Box<CallHandover>),
     /// A client that has not opened a call yet, with the bytes that it has sent. It comes with its socket.
     IdleClient(HexBytes),
+    /// The node's drain has changed.
+    Drain(DrainChange),
 }
 
 impl Display for PredecessorMessage {
@@ -142,6 +182,7 @@
                 write!(formatter, "CALL {json}")
             }
             PredecessorMessage::IdleClient(received) => write!(formatter, "IDLE {received}"),
+            PredecessorMessage::Drain(change) => change.fmt(formatter),
         }
     }
 }
@@ -164,7 +205,7 @@
             ["IDLE", received] => {
                 received.parse().map(PredecessorMessage::IdleClient).map_err(MessageError::IdleClient)
             }
-            _ => Err(MessageError::Unknown),
+            _ => line.parse().map(PredecessorMessage::Drain),
         }
     }
 }
--- a/crates/node/src/handover/mod.rs
+++ b/crates/node/src/handover/mod.rs
@@ -23,9 +23,11 @@
 
 use glendeck::domain::CallId;
 
+use self::message::{PredecessorMessage, SuccessorMessage};
 use crate::service::Service;
 use crate::socket::ConnectionId;
 
+pub(crate) use self::message::DrainChange;
 pub(crate) use self::socket::Inherited;
 pub(crate) use self::state::HandoverState;
 
@@ -54,8 +56,8 @@
     pending_idle_clients: VecDeque<ConnectionId>,
     /// Sockets received from the predecessor whose message line is not complete yet.
     received_sockets: VecDeque<OwnedFd>,
-    /// The predecessor was draining when this process started.
-    pub was_drained: bool,
+    /// The predecessor follows changes of the drain; one of an early version does not understand them.
+    pub predecessor_follows_drain: bool,
 }
 
 impl Handover {
@@ -83,6 +85,19 @@
 }
 
 impl Service {
+    /// Reports a change of the node's drain to its other processes, except to the one that it came from.
+    pub(crate) fn report_drain_change(&mut self, change: DrainChange, sender: Option<ConnectionId>) {
+        let predecessor = self.handover.predecessor.filter(|_| self.handover.predecessor_follows_drain);
+        if let Some(id) = predecessor.filter(|id| sender != Some(*id)) {
+            self.send_text(id, &format!("{}\n", SuccessorMessage::Drain(change)));
+        }
+        // A successor of an early version skips the message.
+        let successor = self.handover.successor.filter(|_| self.handover.successor_has_state);
+        if let Some(id) = successor.filter(|id| sender != Some(*id)) {
+            self.send_text(id, &format!("{}\n", PredecessorMessage::Drain(change)));
+        }
+    }
+
     /// Sends text to the other process. What does not fit into the socket now is sent once it has room.
     fn send_text(&mut self, id: ConnectionId, text: &str) {
         if let Some(entry) = self.sockets.get_mut(id.0) {
--- a/crates/node/src/handover/predecessor.rs
+++ b/crates/node/src/handover/predecessor.rs
@@ -90,13 +90,13 @@
             let line: Vec<u8> = inbox.drain(..length).collect();
             let line = String::from_utf8_lossy(&line);
             match line.parse() {
-                Ok(message) => self.handle_predecessor_message(message),
+                Ok(message) => self.handle_predecessor_message(id, message),
                 Err(cause) => self.skip_predecessor_message(&cause),
             }
         }
     }
 
-    fn handle_predecessor_message(&mut self, message: PredecessorMessage) {
+    fn handle_predecessor_message(&mut self, id: ConnectionId, message: PredecessorMessage) {
         match message {
             PredecessorMessage::OpenConnections { host, connections } => {
                 self.with_node(|node, _| {
@@ -116,6 +116,7 @@
                     self.add_client(socket, received.into_bytes());
                 }
             }
+            PredecessorMessage::Drain(change) => self.follow_drain_change(change, id),
         }
     }
 
@@ -171,6 +172,7 @@
         self.start_adopted_call(Call { id, ..call }, host_id, awaiting_host_since.is_some());
         self.flush_connection(client);
         self.flush_connection(host);
+        self.schedule_drain_migration(id);
         Ok(())
     }
 
--- a/crates/node/src/handover/state.rs
+++ b/crates/node/src/handover/state.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use glendeck::domain::{
-    Cell, Condition, Endpoint, HostId, HostSnapshot, Kind, ListUpdate, NodeSnapshot, Size, SubjectId, Time,
-    Weight, Zone,
+    Cell, Condition, Endpoint, HostId, HostSnapshot, Kind, ListUpdate, NodeSnapshot, Size, Span, SubjectId,
+    Time, Weight, Zone,
 };
 use serde::{Deserialize, Deserializer, Serialize};
 
@@ -20,8 +20,10 @@
     pub list: EndpointListUpdate,
     /// Snapshot of the decision logic, [`glendeck::Node`].
     pub node: NodeSnapshot,
-    /// The node is draining.
-    pub drained: bool,
+    /// Time since the start of the node's drain; `None` if it is in service.
+    pub drain_elapsed: Option<Span>,
+    /// The process follows changes of the drain that its successor reports.
+    pub follows_drain: bool,
     /// Names of the zones, indexed by their numbers in `list`. After the settings of a serving process have
     /// been reloaded, their order can differ from that in its file.
     pub zones: Vec<String>,
@@ -77,7 +79,14 @@
 struct StateMessage {
     #[serde(rename = "arrival")]
     new_client_rate: f64,
+    /// Nanoseconds since the start of the drain. Not sent by predecessors of an early version: their drain
+    /// counts as started now.
+    #[serde(rename = "drain_ns", default, skip_serializing_if = "is_zero")]
+    drain_elapsed_ns: u64,
     drained: bool,
+    /// Not sent by predecessors of an early version, which do not follow changes of the drain.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    follows_drain: bool,
     #[serde(rename = "held")]
     connections_per_size: f64,
     hosts: Vec<HostMessage>,
@@ -155,6 +164,10 @@
     Option::deserialize(deserializer)
 }
 
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 impl From<&HandoverState> for StateMessage {
     fn from(state: &HandoverState) -> StateMessage {
         let node = &state.node;
@@ -163,7 +176,9 @@
         let loads = node.loads.iter().take(MAX_LOADS);
         StateMessage {
             new_client_rate: node.new_client_rate,
-            drained: state.drained,
+            drain_elapsed_ns: state.drain_elapsed.map_or(0, |elapsed| elapsed.0),
+            drained: state.drain_elapsed.is_some(),
+            follows_drain: state.follows_drain,
             connections_per_size: node.connections_per_size,
             hosts: node.hosts.iter().map(HostMessage::from).collect(),
             index: state.list.index,
@@ -211,7 +226,8 @@
         Ok(HandoverState {
             list,
             node,
-            drained: self.drained,
+            drain_elapsed: self.drained.then_some(Span(self.drain_elapsed_ns)),
+            follows_drain: self.follows_drain,
             zones: self.zones.unwrap_or_default(),
             classes: self.classes.unwrap_or_default(),
         })
--- a/crates/node/src/handover/successor.rs
+++ b/crates/node/src/handover/successor.rs
@@ -98,6 +98,7 @@
             SuccessorMessage::Hello => self.send_state(id),
             SuccessorMessage::Serving => self.successor_is_serving(),
             SuccessorMessage::Succeeded => self.handover.successor_was_replaced = true,
+            SuccessorMessage::Drain(change) => self.follow_drain_change(change, id),
         }
     }
 
@@ -130,7 +131,8 @@
         Some(HandoverState {
             node: self.snapshot()?,
             list: self.hosts.to_update(self.list.index()?),
-            drained: matches!(self.phase, Phase::Draining { .. }),
+            drain_elapsed: self.drain_elapsed(),
+            follows_drain: true,
             zones: self.config.zones.clone(),
             classes: self.config.names.traffic.clone(),
         })
--- a/crates/node/src/handover/tests.rs
+++ b/crates/node/src/handover/tests.rs
@@ -1,10 +1,12 @@
 use glendeck::domain::{
-    Cell, Condition, Endpoint, HostId, HostSnapshot, Kind, ListUpdate, NodeSnapshot, Size, SubjectId, Time,
-    Weight, Zone,
+    Cell, Condition, Endpoint, HostId, HostSnapshot, Kind, ListUpdate, NodeSnapshot, Size, Span, SubjectId,
+    Time, Weight, Zone,
 };
 
 use super::hex::{HexBytes, HexError};
-use super::message::{CallHandover, MessageError, PredecessorMessage, StateHeader, SuccessorMessage};
+use super::message::{
+    CallHandover, DrainChange, MessageError, PredecessorMessage, StateHeader, SuccessorMessage,
+};
 use super::state::HandoverState;
 use crate::endpoint_list::EndpointListUpdate;
 
@@ -51,7 +53,14 @@
     let addresses = vec![(host, "127.0.0.1:4000".parse().unwrap())];
     let list =
         EndpointListUpdate { index: 41, update: ListUpdate::Complete, endpoints: vec![endpoint], addresses };
-    HandoverState { list, node, drained: true, zones: names(["x", "y"]), classes: names(["chat", "pay"]) }
+    HandoverState {
+        list,
+        node,
+        drain_elapsed: Some(Span::ZERO),
+        follows_drain: false,
+        zones: names(["x", "y"]),
+        classes: names(["chat", "pay"]),
+    }
 }
 
 /// A state with a recognisable value in every field, and with hosts that have or lack the optional fields.
@@ -84,12 +93,29 @@
     let state = recorded_state();
     assert_eq!(state.encode().unwrap(), STATE.trim_end());
     let read = HandoverState::decode(STATE.trim_end().as_bytes(), &state.zones, &state.classes).unwrap();
-    assert_eq!((read.node, read.drained), (state.node, state.drained));
+    assert_eq!((read.node, read.drain_elapsed), (state.node, state.drain_elapsed));
+    assert!(!read.follows_drain);
     assert_eq!((read.list.index, read.list.endpoints), (state.list.index, state.list.endpoints));
     assert_eq!(read.list.addresses, state.list.addresses);
     assert_eq!((read.zones, read.classes), (state.zones, state.classes));
 }
 
+/// Processes of an early version neither send nor read when the drain started.
+#[test]
+fn state_tells_when_the_drain_started() {
+    let state =
+        HandoverState { drain_elapsed: Some(Span::ms(1_500)), follows_drain: true, ..recorded_state() };
+    let drained = r#""drain_ns":1500000000,"drained":true,"follows_drain":true"#;
+    let recorded = STATE.trim_end().replace(r#""drained":true"#, drained);
+    assert_eq!(state.encode().unwrap(), recorded);
+    let read = HandoverState::decode(recorded.as_bytes(), &[], &[]).unwrap();
+    assert_eq!((read.drain_elapsed, read.follows_drain), (Some(Span::ms(1_500)), true));
+    let in_service = HandoverState { drain_elapsed: None, ..state }.encode().unwrap();
+    assert_eq!(in_service, recorded.replace(drained, r#""drained":false,"follows_drain":true"#));
+    let read = HandoverState::decode(in_service.as_bytes(), &[], &[]).unwrap();
+    assert_eq!((read.drain_elapsed, read.follows_drain), (None, true));
+}
+
 fn recorded_call(has_optional_parts: bool) -> CallHandover {
     let bytes = |bytes: &[u8]| HexBytes::from(if has_optional_parts { bytes } else { b"" });
     CallHandover {
@@ -136,6 +162,28 @@
     assert_eq!(recorded.next(), None);
 }
 
+/// Both sides send changes of the drain in the same words.
+#[test]
+fn changes_of_the_drain_are_written_and_read_as_recorded() {
+    let changes = [
+        (DrainChange::Started { elapsed: Span::ms(1_500) }, "DRAINING 1500000000"),
+        (DrainChange::Ended, "ACTIVE"),
+    ];
+    for (change, line) in changes {
+        let (of_successor, of_predecessor) =
+            (SuccessorMessage::Drain(change), PredecessorMessage::Drain(change));
+        assert_eq!(
+            (of_successor.to_string(), of_predecessor.to_string()),
+            (line.to_owned(), line.to_owned())
+        );
+        assert_eq!(line.parse::<SuccessorMessage>().unwrap(), of_successor);
+        assert_eq!(line.parse::<PredecessorMessage>().unwrap(), of_predecessor);
+    }
+    for line in ["DRAINING", "DRAINING x", "DRAINING 1 2", "ACTIVE 1"] {
+        assert!(line.parse::<SuccessorMessage>().is_err(), "{line}");
+    }
+}
+
 /// The sockets of an invalid line have to be closed, or they would be taken for those of the next line.
 #[test]
 fn invalid_messages_report_how_many_sockets_came_with_them() {
@@ -160,7 +208,7 @@
     let state = sample_state();
     let text = state.encode().unwrap();
     let read = HandoverState::decode(text.as_bytes(), &state.zones, &state.classes).unwrap();
-    assert_eq!((&read.node, read.drained), (&state.node, true));
+    assert_eq!((&read.node, read.drain_elapsed), (&state.node, Some(Span::ZERO)));
     assert_eq!(
         (read.list.index, &read.list.endpoints, &read.list.addresses),
         (41, &state.list.endpoints, &state.list.addresses)
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -2,7 +2,10 @@
 
 use glendeck::domain::Time;
 
-/// The phase of the process.
+#[cfg(doc)]
+use crate::service::Service;
+
+/// The phase of the process. A drain is a state of the whole node, see [`Service::drain`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
     /// The node listens, but is not ready to serve yet: it knows no ready host, or still waits for the
@@ -10,12 +13,6 @@
     Starting,
     /// The node accepts and serves clients.
     Serving,
-    /// Operators are draining the node: it serves what the front-end balancer still sends and migrates its
-    /// clients, but keeps running.
-    Draining {
-        /// When the drain started.
-        since: Time,
-    },
     /// The successor accepts new clients; this process serves its remaining ones until it is told to exit.
     Replaced,
     /// The node was told to exit and migrates its clients until `until`.
--- a/crates/node/src/service/lifecycle.rs
+++ b/crates/node/src/service/lifecycle.rs
@@ -19,10 +19,6 @@
         if self.phase == Phase::Starting && self.hosts.any_ready() && !must_wait {
             self.phase = Phase::Serving;
             info!(name = %self.config.name, "serving");
-            if std::mem::take(&mut self.handover.was_drained) {
-                info!("continuing the predecessor's drain");
-                self.drain();
-            }
             self.take_over();
         }
     }
@@ -30,12 +26,18 @@
     /// Whether the node answers the front-end balancer that it takes new clients; also true while the
     /// successor accepts them.
     pub(crate) fn takes_clients(&self) -> bool {
+        self.phase != Phase::Starting && self.accepts_calls() && !self.is_draining()
+    }
+
+    /// Whether calls of the connected clients are still accepted: the process is not leaving, or it is
+    /// replaced and has enough time left to hand them over.
+    pub(crate) fn accepts_calls(&self) -> bool {
         match self.phase {
-            Phase::Serving | Phase::Replaced => true,
+            Phase::Starting | Phase::Serving | Phase::Replaced => true,
             Phase::Leaving { until } => {
                 self.handover.is_replaced() && self.now + LAST_MIGRATIONS_BEFORE_EXIT < until
             }
-            Phase::Starting | Phase::Draining { .. } | Phase::Flushing | Phase::Left => false,
+            Phase::Flushing | Phase::Left => false,
         }
     }
 
--- a/crates/node/src/service/mod.rs
+++ b/crates/node/src/service/mod.rs
@@ -39,6 +39,7 @@
 use crate::socket::{ConnectionId, SocketRole};
 use crate::timers::{TimerEvent, Timers};
 use clock::Clock;
+use drain::DrainState;
 use reports::PendingReports;
 use sockets::SocketTable;
 
@@ -89,8 +90,8 @@
     pub membership: Option<Box<Membership>>,
     /// Call and attempt counters.
     pub metrics: Metrics,
-    /// The number of the current or last drain.
-    drain_number: u32,
+    /// Whether the node is draining.
+    drain: DrainState,
     /// The longest turn of the loop since the metrics were last read.
     pub slowest_turn: Span,
     random: WyRand,
@@ -341,6 +342,12 @@
         self.deliver_reports();
     }
 
+    /// A random time from `first`, but after now, to `last`; the earliest possible one if `last` is before it.
+    fn random_time(&mut self, first: Time, last: Time) -> Time {
+        let first = first.max(self.now + Span::ms(1));
+        first + last.since(first).times(self.random_fraction())
+    }
+
     /// A random number from 0 to 1, from a generator other than that of the decision logic.
     pub(crate) fn random_fraction(&mut self) -> f64 {
         f64::from(self.random.generate::<f32>())
--- a/crates/node/src/service/port.rs
+++ b/crates/node/src/service/port.rs
@@ -37,6 +37,11 @@
         self.node.as_ref().map(|node| node.warm_state(limit)).unwrap_or_default()
     }
 
+    /// Whether the predecessor still has connections to hosts.
+    pub(crate) fn predecessor_holds_connections(&self) -> bool {
+        self.node.as_ref().is_some_and(|node| node.predecessor_connections() > 0.0)
+    }
+
     /// Whether the decision logic has ejected a host.
     pub(crate) fn is_host_ejected(&self, host: HostId) -> bool {
         self.node.as_ref().is_some_and(|node| node.is_ejected(host))
--- a/crates/node/src/service/shutdown.rs
+++ b/crates/node/src/service/shutdown.rs
@@ -5,7 +5,6 @@
 use tracing::info;
 
 use super::Service;
-use super::drain::{DRAIN_TIME, NEW_CLIENTS_AFTER_DRAIN};
 use crate::clients::ACCEPT_RETRY_DELAY;
 use crate::lifecycle::Phase;
 use crate::protocol::Answer;
@@ -104,28 +103,19 @@
         }
     }
 
-    /// Schedules the migration of a call that opens while the node migrates its clients, or hands it over if
-    /// the process is replaced. The time is random, in the last migrations of a shutdown or in the rest of a
-    /// drain: clients that are migrated together reconnect together.
+    /// Schedules the migration of a call that opens, or is adopted from the predecessor, while the node
+    /// migrates its clients; hands it over if the process is leaving and replaced. The time is random, in the
+    /// last migrations of a shutdown or in the rest of a drain: clients that are migrated together reconnect
+    /// together.
     pub(crate) fn schedule_late_migration(&mut self, call: CallId) {
-        let (first, last) = match self.phase {
-            Phase::Leaving { .. } if self.handover.is_replaced() => return self.hand_over_call(call),
-            Phase::Leaving { until } => (
-                until - LAST_MIGRATIONS_BEFORE_EXIT - LATE_MIGRATION_TIME,
-                until - LAST_MIGRATIONS_BEFORE_EXIT,
-            ),
-            Phase::Draining { since } if self.now >= since + NEW_CLIENTS_AFTER_DRAIN => {
-                (self.now, since + DRAIN_TIME)
-            }
-            _ => return,
-        };
-        let first = first.max(self.now + Span::ms(1));
-        let due = first + last.since(first).times(self.random_fraction());
-        let event = match self.phase {
-            Phase::Draining { .. } => TimerEvent::DrainMigrate(self.drain_number, call),
-            _ => TimerEvent::Migrate(call),
-        };
-        self.timers.set(due, event);
+        self.schedule_drain_migration(call);
+        let Phase::Leaving { until } = self.phase else { return };
+        if self.handover.is_replaced() {
+            return self.hand_over_call(call);
+        }
+        let last = until - LAST_MIGRATIONS_BEFORE_EXIT;
+        let due = self.random_time(last - LATE_MIGRATION_TIME, last);
+        self.timers.set(due, TimerEvent::Migrate(call));
     }
 
     /// Closes the listening socket, as the front-end balancer sends no more clients. The close resets the
--- a/crates/node/src/service/start.rs
+++ b/crates/node/src/service/start.rs
@@ -9,6 +9,7 @@
 use nanorand::WyRand;
 
 use super::clock::Clock;
+use super::drain::DrainState;
 use super::reports::PendingReports;
 use super::sockets::SocketTable;
 use super::{Service, ServiceError};
@@ -53,7 +54,10 @@
 
 struct PredecessorState {
     snapshot: NodeSnapshot,
-    was_drained: bool,
+    /// Time since the start of the predecessor's drain; `None` if it is in service.
+    drain_elapsed: Option<Span>,
+    /// The predecessor follows changes of the drain that this process reports.
+    follows_drain: bool,
 }
 
 impl Service {
@@ -97,7 +101,7 @@
             handover: Handover::default(),
             membership: None,
             metrics: Metrics::new(&config.names.traffic),
-            drain_number: 0,
+            drain: DrainState::default(),
             slowest_turn: Span::ZERO,
             // The seed differs from that of the decision logic, so that the two sequences are independent.
             random: WyRand::new_seed(!config.seed),
@@ -127,8 +131,9 @@
         if let Some(list) = known.list {
             self.apply_cached_list(list);
         }
-        if let Some(PredecessorState { snapshot, was_drained }) = known.node {
-            self.handover.was_drained = was_drained;
+        if let Some(PredecessorState { snapshot, drain_elapsed, follows_drain }) = known.node {
+            self.handover.predecessor_follows_drain = follows_drain;
+            self.inherit_drain(drain_elapsed);
             self.with_node(|node, _| node.restore(&snapshot));
         }
     }
@@ -183,6 +188,10 @@
         Some(configured) if configured.index > state.list.index => configured,
         _ => state.list,
     };
-    let node = PredecessorState { snapshot: state.node, was_drained: state.drained };
+    let node = PredecessorState {
+        snapshot: state.node,
+        drain_elapsed: state.drain_elapsed,
+        follows_drain: state.follows_drain,
+    };
     InitialState { list: Some(list), node: Some(node) }
 }
--- a/crates/node/src/warm_state.rs
+++ b/crates/node/src/warm_state.rs
@@ -107,7 +107,7 @@
     pub(crate) fn warm_state_tick(&mut self) {
         let timestamp = self.timestamp();
         let now = self.now;
-        let sends_clients_away = matches!(self.phase, Phase::Draining { .. } | Phase::Leaving { .. });
+        let sends_clients_away = self.is_draining() || matches!(self.phase, Phase::Leaving { .. });
         let is_leaving = sends_clients_away && !self.handover.is_replaced();
         let warm_state = self.membership.as_ref().and_then(|membership| membership.warm_state.as_ref());
         let Some(warm_state) = warm_state else { return };
--- a/crates/node/tests/sockets/admin.rs
+++ b/crates/node/tests/sockets/admin.rs
@@ -1,7 +1,7 @@
 //! Steps at the node's admin interface, and the comparison of its metrics with what the stand-ins saw.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
@@ -34,13 +34,18 @@
                 }
             }
             [method, path, status] => {
-                let answer = self.call_admin(method, path).unwrap();
-                assert!(has_status(&answer, status), "{answer}");
+                self.expect_admin_status(self.process.admin.address, method, path, status)
             }
             other => panic!("unknown admin step {other:?}"),
         }
     }
 
+    /// One request at the admin interface of the node's process that listens there.
+    pub(crate) fn expect_admin_status(&self, admin: SocketAddr, method: &str, path: &str, status: &str) {
+        let answer = call_admin_at(admin, method, path).unwrap();
+        assert!(has_status(&answer, status), "{answer}");
+    }
+
     fn await_ready_status(&self, status: &str) {
         let deadline = Instant::now() + PATIENCE;
         while !self.call_admin("GET", "/v1/readyz").is_ok_and(|answer| has_status(&answer, status)) {
@@ -49,24 +54,9 @@
         }
     }
 
-    /// One admin request, answered within the limit; the whole answer as it comes back.
+    /// One request at the admin interface of the current process.
     pub(crate) fn call_admin(&self, method: &str, path: &str) -> std::io::Result<String> {
-        // The node may have been started a moment ago.
-        let deadline = Instant::now() + PATIENCE;
-        let mut stream = loop {
-            match TcpStream::connect(self.process.admin.address) {
-                Err(error) if error.kind() == ErrorKind::ConnectionRefused && Instant::now() < deadline => {}
-                other => break other?,
-            }
-            std::thread::sleep(Duration::from_millis(5));
-        };
-        stream.set_read_timeout(Some(PATIENCE))?;
-        let start = Instant::now();
-        write!(stream, "{method} {path} HTTP/1.1\r\nHost: door\r\nContent-Length: 2\r\n\r\n{{}}")?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer)?;
-        assert!(start.elapsed() < ANSWER_LIMIT, "the admin interface took {:?}", start.elapsed());
-        Ok(answer)
+        call_admin_at(self.process.admin.address, method, path)
     }
 
     fn metrics(&self) -> Value {
@@ -124,6 +114,26 @@
     }
 }
 
+/// One admin request, answered within the limit; the whole answer as it comes back.
+fn call_admin_at(admin: SocketAddr, method: &str, path: &str) -> std::io::Result<String> {
+    // The node may have been started a moment ago.
+    let deadline = Instant::now() + PATIENCE;
+    let mut stream = loop {
+        match TcpStream::connect(admin) {
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused && Instant::now() < deadline => {}
+            other => break other?,
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    };
+    stream.set_read_timeout(Some(PATIENCE))?;
+    let start = Instant::now();
+    write!(stream, "{method} {path} HTTP/1.1\r\nHost: door\r\nContent-Length: 2\r\n\r\n{{}}")?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    assert!(start.elapsed() < ANSWER_LIMIT, "the admin interface took {:?}", start.elapsed());
+    Ok(answer)
+}
+
 fn has_status(answer: &str, status: &str) -> bool {
     answer.starts_with(&format!("HTTP/1.1 {status} "))
 }
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -137,6 +137,9 @@
 #[test_case("pushed"; "what the node's agent has counts from its first moment")]
 #[test_case("slow_list"; "a list request that waits in its queue for long is not repeated")]
 #[test_case("silent_list"; "a list request that is never answered is repeated before hosts drain")]
+#[test_case("upgrade_drain"; "a drain ordered while the process is replaced holds for both processes")]
+#[test_case("upgrade_drain_early"; "a drain ordered as the process is being replaced is not lost")]
+#[test_case("drain_ended"; "a drained node that is told to end keeps to the time of its drain")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap();
--- a/crates/node/tests/sockets/processes.rs
+++ b/crates/node/tests/sockets/processes.rs
@@ -39,6 +39,10 @@
                 let status = self.predecessors.last_mut().unwrap().child.wait().unwrap();
                 assert_eq!(status.code(), Some(code.parse().unwrap()));
             }
+            ["old", "admin", method, path, status] => {
+                let admin = self.predecessors.last().unwrap().admin.address;
+                self.expect_admin_status(admin, method, path, status);
+            }
             ["old", "kill"] => self.predecessors.last_mut().unwrap().child.kill().unwrap(),
             ["first", "exits"] => self.end_first_predecessor(),
             ["stop"] => self.stop_process(),
--- a/src/node/snapshot.rs
+++ b/src/node/snapshot.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// How many connections the previous process has, at all hosts together.
+    pub fn predecessor_connections(&self) -> f64 {
+        self.hosts.iter().map(|host| host.predecessor_connections).sum()
+    }
+
     /// Hints for the nodes to which this node's clients go if it is lost: at most `limit` homes and `limit`
     /// loads. Loads that deviate most from the mean are kept.
     pub fn warm_state(&self, limit: usize) -> WarmState {
