Pass on what is handed over to a process that is replaced and leaving

Seen: two processes before the serving one are told to end, the newer one first. What the older one hands over stays with the newer one until its exit, up to 3.4 s, and is then moved all at once. Cause: adopted calls got the timers of an open call, not those of a process that leaves or hands over; calls that open late do. Change: adopted calls take the way of calls that open late (drain, leaving, handover), idle clients are handed on as well. Test: scenario upgrade_chain; before the change it failed, as the exit came 3.05 s after the last line (1.5 s at most).

--- a/crates/node/src/handover/predecessor.rs
+++ b/crates/node/src/handover/predecessor.rs
@@ -112,8 +112,11 @@
                 }
             }
             PredecessorMessage::IdleClient(received) => {
-                if let Some(socket) = self.handover.received_sockets.pop_front() {
-                    self.add_client(socket, received.into_bytes());
+                if let Some(socket) = self.handover.received_sockets.pop_front()
+                    && let Some(client) = self.add_client(socket, received.into_bytes())
+                    && self.hands_over_connections()
+                {
+                    self.hand_over_idle_client(client);
                 }
             }
             PredecessorMessage::Drain(change) => self.follow_drain_change(change, id),
@@ -172,7 +175,7 @@
         self.start_adopted_call(Call { id, ..call }, host_id, awaiting_host_since.is_some());
         self.flush_connection(client);
         self.flush_connection(host);
-        self.schedule_drain_migration(id);
+        self.schedule_late_migration(id);
         Ok(())
     }
 
--- a/crates/node/src/handover/successor.rs
+++ b/crates/node/src/handover/successor.rs
@@ -188,12 +188,18 @@
         self.continue_handover();
     }
 
-    /// Hands over one call that was opened after the others were handed over.
+    /// Hands over one call that was opened, or adopted, after the others were handed over.
     pub(crate) fn hand_over_call(&mut self, call: CallId) {
         self.handover.pending_calls.push_back(call);
         self.continue_handover();
     }
 
+    /// Hands over one client without a call that came after the others were handed over.
+    pub(super) fn hand_over_idle_client(&mut self, client: ConnectionId) {
+        self.handover.pending_idle_clients.push_back(client);
+        self.continue_handover();
+    }
+
     /// Hands over as many connections as fit into the socket; the rest follow once it has room again.
     pub(crate) fn continue_handover(&mut self) {
         let Some(id) = self.handover.successor.filter(|_| self.handover.successor_serves) else { return };
--- a/crates/node/src/service/drain.rs
+++ b/crates/node/src/service/drain.rs
@@ -150,7 +150,7 @@
 
     /// Schedules the migration of a call that opens, or is adopted, after the drain has spread the migration
     /// of the connected clients: at a random time in the rest of the drain, at once after its end.
-    pub(crate) fn schedule_drain_migration(&mut self, call: CallId) {
+    pub(super) fn schedule_drain_migration(&mut self, call: CallId) {
         let Some(since) = self.drain.since else { return };
         if self.now < since + NEW_CLIENTS_AFTER_DRAIN {
             return;
--- a/crates/node/src/service/shutdown.rs
+++ b/crates/node/src/service/shutdown.rs
@@ -109,15 +109,20 @@
     /// together.
     pub(crate) fn schedule_late_migration(&mut self, call: CallId) {
         self.schedule_drain_migration(call);
-        let Phase::Leaving { until } = self.phase else { return };
-        if self.handover.is_replaced() {
+        if self.hands_over_connections() {
             return self.hand_over_call(call);
         }
+        let Phase::Leaving { until } = self.phase else { return };
         let last = until - LAST_MIGRATIONS_BEFORE_EXIT;
         let due = self.random_time(last - LATE_MIGRATION_TIME, last);
         self.timers.set(due, TimerEvent::Migrate(call));
     }
 
+    /// Whether the process is leaving and hands its connections over to its successor.
+    pub(crate) fn hands_over_connections(&self) -> bool {
+        matches!(self.phase, Phase::Leaving { .. }) && self.handover.is_replaced()
+    }
+
     /// Closes the listening socket, as the front-end balancer sends no more clients. The close resets the
     /// connections in the accept queue, so all of them are accepted first, as descriptors become free.
     pub(super) fn stop_accepting(&mut self) {
