Plan the exit by the current longest guard time, not by the longest ever set

At a planned end 5 s later, 4 to 9 of 60 connections are still held when SIGKILL comes, 0.75 s after the new longest guard time, and end without MOVE. Cause: NodeConfig::renew kept the longest guard time that the process ever had, for calls of the old settings. The plan of leaving counts back from it, so clients were moved from 1.9 s to 2.9 s after SIGTERM, and the exit was due after 3.4 s. Evidence: the records show the moves going on evenly until SIGKILL; a node that starts with the new settings is done by 1.9 s. Change: the longest guard time is that of the current settings. A call that came under earlier ones and still waits at SIGTERM has its answer at the exit at the latest; waiting longer would leave it to SIGKILL with no answer.

--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -107,7 +107,7 @@
     pub zones: Vec<String>,
     /// Connect timeout: a connection to a host that is not established by then has failed.
     pub connect_limit: Span,
-    /// The longest time that any client waits for its answer.
+    /// The longest time that any client waits for its answer, by the current settings.
     pub longest_guard: Span,
     /// The endpoint list that the node starts with.
     pub known: Option<EndpointListUpdate>,
@@ -161,8 +161,7 @@
         self.descriptors = new.descriptors;
         self.list_is_pushed = new.list_is_pushed;
         self.connect_limit = new.connect_limit;
-        // Calls in flight keep their original deadline.
-        self.longest_guard = self.longest_guard.max(new.longest_guard);
+        self.longest_guard = new.longest_guard;
         let zone_numbers = merge_names(&mut self.zones, new.zones);
         let class_numbers = merge_names(&mut self.names.traffic, new.names.traffic);
         merge_names(&mut self.names.tenants, new.names.tenants);
