Tell replicas of a longest guard time that a reload made longer

Seen: in a fleet that replicates work, calls that must not run twice are answered BUSY after SIGHUP gave them more time. Cause: the longest guard time was copied into the replicas' logic when the process joined its fleet. A replica refuses an intent of a call that may take longer, and the reload did not reach the copy. Change: a reload reports it; a replica raises its own, keeps what it stores for as much longer, and a full history stays full. It is never lowered, as calls with more time may be in flight.

--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -163,6 +163,25 @@
         self.supervisor.signal(node, signal);
     }
 
+    /// Gives all classes this guard time in the configurations of all nodes, which reload them.
+    ///
+    /// # Errors
+    /// A configuration cannot be read or written.
+    pub fn reload_guard_time(&self, guard_ms: f64) -> std::io::Result<()> {
+        for node in 0..self.spec.nodes {
+            let path = self.folder.join(format!("n{node}/node.json"));
+            let mut config: Value = serde_json::from_slice(&std::fs::read(&path)?)?;
+            for class in config["settings"]["trafficTypes"].as_array_mut().into_iter().flatten() {
+                class["guardTimeMs"] = guard_ms.into();
+            }
+            let fresh = path.with_extension("new");
+            std::fs::write(&fresh, config.to_string())?;
+            std::fs::rename(fresh, path)?;
+            self.supervisor.signal(node, Signal::HUP);
+        }
+        Ok(())
+    }
+
     /// The folder of a node's store.
     pub fn store(&self, node: usize) -> PathBuf {
         self.folder.join(format!("n{node}/store"))
--- a/crates/harness/tests/processes.rs
+++ b/crates/harness/tests/processes.rs
@@ -157,6 +157,7 @@
     #[expect(clippy::too_many_lines, reason = "one arm a statement of the notation")]
     fn play(&mut self, words: &[&str]) {
         match words {
+            ["guard", guard_ms] => self.cluster.reload_guard_time(guard_ms.parse().unwrap()).unwrap(),
             ["calls", count] => self.cluster.clients.add_clients(count.parse().unwrap(), 1),
             ["works", count] => {
                 self.keyed_clients =
@@ -586,6 +587,7 @@
 #[test_case("takers"; "nodes, takers and hosts are lost together, and old ones wake")]
 #[test_case("garbled"; "links that turn bits over")]
 #[test_case("links"; "links that are slow, one-way, stalled, flapping or resetting")]
+#[test_case("longer_guard"; "replicas keep the intents of calls that a reload gave more time")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap();
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -173,6 +173,11 @@
         ConfigChange { settings: has_new_settings || has_new_zones, zones: has_new_zones, later }
     }
 
+    /// The longest time that any client waits for its answer, in ms.
+    pub(crate) fn longest_guard_ms(&self) -> u64 {
+        self.longest_guard.0 / 1_000_000
+    }
+
     /// Those of `name`, `listen`, `admin` and `fleet` that changed; a running process cannot apply them.
     fn changes_for_new_process(&self, new: &NodeConfig) -> Vec<&'static str> {
         let keys = [
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -110,13 +110,12 @@
         name: UnitName,
         incarnation: Incarnation,
         now: Time,
-        longest_wait: Span,
+        longest_ms: u64,
     ) -> Membership {
         let start = Timestamp(START_OFFSET.0);
         let policy = &settings.policy;
         let work = policy.work.as_ref().map(|work| {
             let recall_ms = u64::from(work.recall_s) * 1_000;
-            let longest_ms = longest_wait.0 / 1_000_000;
             Work::new(start, name.clone(), incarnation, recall_ms, longest_ms)
         });
         // Warm state is enabled together with replicated work, whose view of the fleet it uses.
@@ -185,8 +184,8 @@
             self.watch_listener(&store.wake, STORE)?;
         }
         let fleet = Fleet::new(opened.config, Timestamp(START_OFFSET.0));
-        let longest_wait = self.config.longest_guard;
-        let mut membership = Membership::new(fleet, &settings, name, incarnation, self.now, longest_wait);
+        let longest_ms = self.config.longest_guard_ms();
+        let mut membership = Membership::new(fleet, &settings, name, incarnation, self.now, longest_ms);
         membership.store = opened.store;
         membership.store_retry_ticks = opened.retry_ticks;
         membership.faults = faults;
--- a/crates/node/src/service/lifecycle.rs
+++ b/crates/node/src/service/lifecycle.rs
@@ -59,6 +59,7 @@
         let is_list_elsewhere = config.discovery != self.config.discovery;
         let change = self.config.renew(config);
         info!(discovery = %self.config.discovery, "configuration reloaded");
+        self.renew_longest_call();
         for key in change.later {
             warn!(key, "configuration change takes effect at the next start");
         }
--- a/crates/takeover/src/replica/mod.rs
+++ b/crates/takeover/src/replica/mod.rs
@@ -36,8 +36,9 @@
     longest_call_ms: u64,
     /// Every intent that was accepted since this time is stored.
     history_since: Timestamp,
-    /// Whether the previous process had its full history and handed it over.
-    has_inherited_history: bool,
+    /// The history is full whatever its age: the previous process handed it over, or it was full before the
+    /// longest time of a call was raised.
+    has_complete_history: bool,
     /// Whether the records were handed over to the next process, so that nothing more is stored.
     is_handed_over: bool,
     records: BTreeMap<WorkId, Vec<Record>>,
@@ -52,7 +53,7 @@
             retention_ms,
             longest_call_ms,
             history_since: now,
-            has_inherited_history: false,
+            has_complete_history: false,
             is_handed_over: false,
             records: BTreeMap::new(),
             record_count: 0,
@@ -60,6 +61,21 @@
         }
     }
 
+    /// Raises the longest time that any call may take. It is never lowered: calls that were taken in under
+    /// the longer time may still be in flight.
+    pub(crate) fn raise_longest_call(&mut self, now: Timestamp, longest_call_ms: u64) {
+        let added_ms = longest_call_ms.saturating_sub(self.longest_call_ms);
+        if added_ms == 0 {
+            return;
+        }
+        // Expired records belonged to calls with the shorter time, so none is missing from a full history.
+        self.has_complete_history |= self.has_full_history(now);
+        self.longest_call_ms = longest_call_ms;
+        for expiry in &mut self.expiries {
+            expiry.due_at = expiry.due_at.plus_ms(added_ms);
+        }
+    }
+
     /// The number of records stored.
     pub fn record_count(&self) -> usize {
         self.record_count
@@ -68,13 +84,13 @@
     /// Whether every record that this replica may lack has expired by now, so that it may answer queries.
     pub fn has_full_history(&self, now: Timestamp) -> bool {
         let is_old_enough = now.ms_since(self.history_since) > self.lifetime_ms();
-        is_old_enough || self.has_inherited_history || is_injected(InjectedFault::AnswersWithoutHistory)
+        is_old_enough || self.has_complete_history || is_injected(InjectedFault::AnswersWithoutHistory)
     }
 
     /// Starts the history anew: records of intents from before `now` may be missing.
     pub(crate) fn restart_history(&mut self, now: Timestamp) {
         self.history_since = now;
-        self.has_inherited_history = false;
+        self.has_complete_history = false;
     }
 
     pub(crate) fn hand_over(&mut self, now: Timestamp) -> ReplicaHandover {
@@ -87,7 +103,7 @@
     }
 
     pub(crate) fn restore(&mut self, now: Timestamp, handover: ReplicaHandover) {
-        self.has_inherited_history = handover.has_full_history;
+        self.has_complete_history = handover.has_full_history;
         for record in handover.records.into_iter().take(MAX_RECORDS) {
             let work = record.work;
             self.insert(now, work, Record::from_handover(now, record));
--- a/crates/takeover/src/takeover.rs
+++ b/crates/takeover/src/takeover.rs
@@ -75,6 +75,11 @@
         self.view = view;
     }
 
+    /// Reports a change of the longest time that any call may take, in ms. A shorter one changes nothing.
+    pub fn longest_call_changed(&mut self, now: Timestamp, longest_call_ms: u64) {
+        self.replica.raise_longest_call(now, longest_call_ms);
+    }
+
     /// Stops this node's replica before a planned end of the process, and returns its records for the next
     /// process.
     pub fn hand_over(&mut self, now: Timestamp) -> ReplicaHandover {
