Let a process take clients again when both of its successors are lost

Seen: of three processes of a node the newest is killed, then the one before it, which had taken clients again. The first does not: connections come up and are never read. Cause: a process that was replaced had told its predecessor so (SUCCEEDED), and never took it back when its successor was lost. Change: a process that accepts clients again sends SERVING to its predecessor, which forgets SUCCEEDED. Test: scenario upgrade_undone_twice; before the change PING has no answer within 10 s.

--- a/crates/node/src/handover/predecessor.rs
+++ b/crates/node/src/handover/predecessor.rs
@@ -55,8 +55,13 @@
         self.listen_for_successor();
         self.handover.took_over = true;
         self.watch_for_clients(true);
+        self.send_to_predecessor(SuccessorMessage::Serving);
+    }
+
+    /// Sends a message to the predecessor, if it is still connected.
+    pub(super) fn send_to_predecessor(&mut self, message: SuccessorMessage) {
         if let Some(id) = self.handover.predecessor {
-            self.send_text(id, &format!("{}\n", SuccessorMessage::Serving));
+            self.send_text(id, &format!("{message}\n"));
         }
     }
 
--- a/crates/node/src/handover/successor.rs
+++ b/crates/node/src/handover/successor.rs
@@ -142,9 +142,8 @@
     fn successor_is_serving(&mut self) {
         info!(calls = self.calls.len(), "replaced: the successor accepts clients");
         self.handover.successor_serves = true;
-        if let Some(predecessor) = self.handover.predecessor {
-            self.send_text(predecessor, &format!("{}\n", SuccessorMessage::Succeeded));
-        }
+        self.handover.successor_was_replaced = false;
+        self.send_to_predecessor(SuccessorMessage::Succeeded);
         self.handover.listener = None;
         self.watch_for_clients(false);
         if matches!(self.phase, Phase::Serving | Phase::Starting) {
@@ -177,6 +176,9 @@
         }
         self.watch_for_clients(true);
         self.listen_for_successor();
+        // The predecessor was told that this process is replaced; if this process is lost too, it must accept
+        // clients.
+        self.send_to_predecessor(SuccessorMessage::Serving);
     }
 
     /// Hands over all open calls, and the clients that have not opened one yet.
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -141,6 +141,7 @@
 #[test_case("upgrade_drain_early"; "a drain ordered as the process is being replaced is not lost")]
 #[test_case("drain_ended"; "a drained node that is told to end keeps to the time of its drain")]
 #[test_case("upgrade_chain"; "a process that leaves passes on what its predecessor hands over")]
+#[test_case("upgrade_undone_twice"; "two next processes die, and the first has the clients again")]
 #[test_case("shorter_guard"; "a node whose guard times were shortened by a reload leaves within them")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
