Play orders drawn from a seed at one node while its processes are replaced

Change: a test draws opening, replacement, drain, activate, planned end and loss of a process, with orders to either process before the next one serves. It judges from outside: PONG and standing clients in service, none held 4 s after an order to drain, MOVE before every end. Eight seeds in the ordinary run; DRAWN_SEEDS=100..200 plays others.

--- a/crates/node/tests/sockets/admin.rs
+++ b/crates/node/tests/sockets/admin.rs
@@ -115,7 +115,7 @@
 }
 
 /// One admin request, answered within the limit; the whole answer as it comes back.
-fn call_admin_at(admin: SocketAddr, method: &str, path: &str) -> std::io::Result<String> {
+pub(crate) fn call_admin_at(admin: SocketAddr, method: &str, path: &str) -> std::io::Result<String> {
     // The node may have been started a moment ago.
     let deadline = Instant::now() + PATIENCE;
     let mut stream = loop {
@@ -134,7 +134,7 @@
     Ok(answer)
 }
 
-fn has_status(answer: &str, status: &str) -> bool {
+pub(crate) fn has_status(answer: &str, status: &str) -> bool {
     answer.starts_with(&format!("HTTP/1.1 {status} "))
 }
 
--- a/crates/node/tests/sockets/connection.rs
+++ b/crates/node/tests/sockets/connection.rs
@@ -44,6 +44,15 @@
         }
     }
 
+    /// What [`Connection::receive`] returns, or `None` if nothing has come.
+    pub(crate) fn try_receive(&mut self) -> Option<String> {
+        self.stream().set_nonblocking(true).unwrap();
+        let has_come = !self.reader.buffer().is_empty()
+            || !matches!(self.stream().peek(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock);
+        self.stream().set_nonblocking(false).unwrap();
+        has_come.then(|| self.receive())
+    }
+
     /// Exactly so many bytes.
     pub(crate) fn receive_bytes(&mut self, count: usize) -> Vec<u8> {
         let mut bytes = vec![0; count];
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod admin;
 mod connection;
 mod discovery;
+mod drawn_orders;
 mod front;
 mod node_config;
 mod peers;
