--- a/crates/node/src/config/decode.rs
+++ b/crates/node/src/config/decode.rs
@@ -48,7 +48,7 @@
 /// # Errors
 ///
 /// As [`from_environment`].
-pub(crate) fn anew() -> Result<NodeConfig, ConfigError> {
+pub(crate) fn read_again() -> Result<NodeConfig, ConfigError> {
     decode(
         &read_file()?,
         |variable| {
@@ -81,7 +81,7 @@
     let map = SettingsMap::from_json(settings_json);
     let (settings, list_is_pushed) = decode_settings(&map)?;
     let classes = names(settings_json, "trafficTypes")?;
-    let longest_guard = longest_deadline(&map, classes.len())?;
+    let longest_deadline = longest_deadline(&map, classes.len())?;
     let zones = texts(settings_json, "dcs")?;
     let known = present(&json, "known");
     let known = known.map(|known| endpoint_list::decode(known, &zones)).transpose()?;
@@ -103,7 +103,7 @@
             groups: map.flag_or("extra.groups", false)?,
         },
         connect_limit: map.span("caps.connectTimeoutMs")?,
-        longest_guard,
+        longest_deadline,
         zones,
         settings,
         list_is_pushed,
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -19,7 +19,7 @@
 use crate::hash::hash_name;
 use crate::protocol::Names;
 
-pub(crate) use self::decode::{anew, from_environment};
+pub(crate) use self::decode::{from_environment, read_again};
 
 /// The environment variable for the log level. The platform defines none, so the name is glendeck's own.
 const LOG_VARIABLE: &str = "GLENDECK_LOG";
@@ -108,7 +108,7 @@
     /// Connect timeout: a connection to a host that is not established by then has failed.
     pub connect_limit: Span,
     /// The longest time that any client waits for its answer, by the current settings.
-    pub longest_guard: Span,
+    pub longest_deadline: Span,
     /// The endpoint list that the node starts with.
     pub known: Option<EndpointListUpdate>,
     /// The fleet that the node is a member of, if any.
@@ -161,7 +161,7 @@
         self.descriptors = new.descriptors;
         self.list_is_pushed = new.list_is_pushed;
         self.connect_limit = new.connect_limit;
-        self.longest_guard = new.longest_guard;
+        self.longest_deadline = new.longest_deadline;
         let zone_numbers = merge_names(&mut self.zones, new.zones);
         let class_numbers = merge_names(&mut self.names.traffic, new.names.traffic);
         merge_names(&mut self.names.tenants, new.names.tenants);
@@ -174,8 +174,8 @@
     }
 
     /// The longest time that any client waits for its answer, in ms.
-    pub(crate) fn longest_guard_ms(&self) -> u64 {
-        self.longest_guard.0 / 1_000_000
+    pub(crate) fn longest_deadline_ms(&self) -> u64 {
+        self.longest_deadline.0 / 1_000_000
     }
 
     /// Those of `name`, `listen`, `admin` and `fleet` that changed; a running process cannot apply them.
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -184,7 +184,7 @@
             self.watch_listener(&store.wake, STORE)?;
         }
         let fleet = Fleet::new(opened.config, Timestamp(START_OFFSET.0));
-        let longest_ms = self.config.longest_guard_ms();
+        let longest_ms = self.config.longest_deadline_ms();
         let mut membership = Membership::new(fleet, &settings, name, incarnation, self.now, longest_ms);
         membership.store = opened.store;
         membership.store_retry_ticks = opened.retry_ticks;
--- a/crates/node/src/service/lifecycle.rs
+++ b/crates/node/src/service/lifecycle.rs
@@ -48,7 +48,7 @@
 
     /// Reloads the configuration. The whole file is checked first; if it is invalid, nothing changes.
     pub(super) fn reload(&mut self) {
-        match config::anew() {
+        match config::read_again() {
             Ok(config) => self.apply_config(config),
             Err(cause) => error!(%cause, "invalid configuration, keeping the current one"),
         }
--- a/crates/node/src/service/shutdown.rs
+++ b/crates/node/src/service/shutdown.rs
@@ -56,7 +56,7 @@
         if matches!(self.phase, Phase::Leaving { .. } | Phase::Flushing | Phase::Left) {
             return;
         }
-        let until = self.now + self.config.longest_guard.min(MAX_DEADLINE_WAIT) + TIME_AFTER_DEADLINES;
+        let until = self.now + self.config.longest_deadline.min(MAX_DEADLINE_WAIT) + TIME_AFTER_DEADLINES;
         self.phase = Phase::Leaving { until };
         info!(calls = self.calls.len(), "leaving");
         self.timers.set(until, TimerEvent::Exit);
--- a/crates/node/src/takeover/mod.rs
+++ b/crates/node/src/takeover/mod.rs
@@ -160,7 +160,7 @@
     /// Calls the takeover logic, and performs the actions that it returns.
     /// Reports the longest time that a client waits to the replicas' logic, after the settings have changed.
     pub(crate) fn renew_longest_call(&mut self) {
-        let longest_ms = self.config.longest_guard_ms();
+        let longest_ms = self.config.longest_deadline_ms();
         self.with_takeover(|takeover, now| takeover.longest_call_changed(now, longest_ms));
     }
 
