Take a connection out of the handover queue before it is sent

Cause: continue_handover removed the front of the queue after sending. Reports of one connection can enter it again, and the removal after that dropped another entry, whose client was then moved instead of handed over. Change: an entry is taken out first and put back if the socket is full.

--- a/crates/node/src/handover/mod.rs
+++ b/crates/node/src/handover/mod.rs
@@ -31,6 +31,13 @@
 pub(crate) use self::socket::Inherited;
 pub(crate) use self::state::HandoverState;
 
+/// A connection that is to be handed to the successor.
+#[derive(Clone, Copy, Debug)]
+enum PendingConnection {
+    Call(CallId),
+    IdleClient(ConnectionId),
+}
+
 /// State of the handover from the predecessor and to the successor.
 #[derive(Default)]
 pub(crate) struct Handover {
@@ -76,10 +83,17 @@
         self.predecessor.is_some() && !self.took_over
     }
 
-    /// Removes the next connection to be handed over from its queue; calls come before idle clients.
-    fn remove_first_pending(&mut self) {
-        if self.pending_calls.pop_front().is_none() {
-            self.pending_idle_clients.pop_front();
+    /// Takes the next connection to be handed over; calls come before idle clients.
+    fn take_pending(&mut self) -> Option<PendingConnection> {
+        let call = self.pending_calls.pop_front().map(PendingConnection::Call);
+        call.or_else(|| self.pending_idle_clients.pop_front().map(PendingConnection::IdleClient))
+    }
+
+    /// Puts a connection that could not be sent yet back to the front of its queue.
+    fn put_back_pending(&mut self, connection: PendingConnection) {
+        match connection {
+            PendingConnection::Call(call) => self.pending_calls.push_front(call),
+            PendingConnection::IdleClient(client) => self.pending_idle_clients.push_front(client),
         }
     }
 }
--- a/crates/node/src/handover/successor.rs
+++ b/crates/node/src/handover/successor.rs
@@ -8,6 +8,7 @@
 use rustix::io::Errno;
 use tracing::{info, warn};
 
+use super::PendingConnection;
 use super::hex::HexBytes;
 use super::message::{CallHandover, PredecessorMessage, StateHeader, SuccessorMessage};
 use super::socket::{send_with_sockets, socket_path};
@@ -202,20 +203,21 @@
         self.continue_handover();
     }
 
-    /// Hands over as many connections as fit into the socket; the rest follow once it has room again.
+    /// Hands over as many connections as fit into the socket; the rest follow once it has room again. Reports
+    /// that follow from one may add further ones and enter this function again, so each is taken out of its
+    /// queue before it is sent.
     pub(crate) fn continue_handover(&mut self) {
         let Some(id) = self.handover.successor.filter(|_| self.handover.successor_serves) else { return };
         while self.sockets.get(id.0).is_some_and(|entry| entry.connection.unsent() == 0) {
-            let next_call = self.handover.pending_calls.front().copied();
-            let next_client = self.handover.pending_idle_clients.front().copied();
-            let result = match (next_call, next_client) {
-                (Some(call), _) => self.send_open_call(id, call),
-                (None, Some(client)) => self.send_idle_client(id, client),
-                (None, None) => return,
+            let Some(connection) = self.handover.take_pending() else { return };
+            let result = match connection {
+                PendingConnection::Call(call) => self.send_open_call(id, call),
+                PendingConnection::IdleClient(client) => self.send_idle_client(id, client),
             };
             match result {
-                Ok(()) => self.handover.remove_first_pending(),
+                Ok(()) => {}
                 Err(Errno::AGAIN) => {
+                    self.handover.put_back_pending(connection);
                     return self.timers.set(self.now + FULL_SOCKET_RETRY_DELAY, TimerEvent::ContinueHandover);
                 }
                 Err(cause) => {
