Answer requests that wait while the next process of a voter takes the store

Seen: a request that reaches a process in the second in which it takes the store of the process before it has no answer, not even 503; if it was a question for the fleet's status, the process answers no such question any more. Cause: a process that joins its fleet anew with the store replaced its Fleet by a new one, and dropped the waiting requests with it. Change: Fleet::rejoin keeps the requests, and counts its requests to begin a drain on (by reading: a nonce could be used twice). Test: a_request_is_answered_although_its_node_joins_anew_with_its_store; without the change there is no reply.

--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -109,6 +109,14 @@
         fleet
     }
 
+    /// Continues with the node's store, which another process of the node used until now. What this process
+    /// knew of the log is dropped, as the store may hold less; operators' requests stay pending.
+    pub fn rejoin(&mut self, config: FleetConfig, now: Timestamp) {
+        let requests = std::mem::take(&mut self.requests);
+        let member = self.member.rejoined();
+        *self = Fleet { requests, member, ..Fleet::new(config, now) };
+    }
+
     // Events.
 
     /// Advances the time. Must be called at least ten times a second, with the node's current status.
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -65,6 +65,12 @@
         self.drain
     }
 
+    /// The state after the process has dropped its copy of the log. Requests to begin are counted on, so that
+    /// no nonce is used twice.
+    pub(crate) fn rejoined(&self) -> Member {
+        Member { begin_requests: self.begin_requests, ..Member::default() }
+    }
+
     /// Records the node's totals, at most once in [`NOTE_TOTALS_MS`].
     pub(crate) fn note_totals(&mut self, now: Timestamp, totals: &NodeStatus) {
         if self.totals.back().is_some_and(|(at, _)| now.ms_since(*at) < NOTE_TOTALS_MS) {
--- a/crates/fleet/tests/schedules/voters.rs
+++ b/crates/fleet/tests/schedules/voters.rs
@@ -1,7 +1,9 @@
 //! Voters: partitions, stopped leaders, replacements and the loss of all of them.
 
-use glendeck_fleet::RequestResult;
-use glendeck_fleet::state::{Command, ReleaseState};
+use glendeck_fleet::state::{Command, Incarnation, ReleaseState, RequestId};
+use glendeck_fleet::{
+    Action, Fleet, FleetConfig, LONGEST_LOG, NodeStatus, RequestResult, StoredState, Timestamp,
+};
 
 use crate::common::{name, release, release_state, started_fleet};
 use crate::world::{Fault, LinkState, World, policy};
@@ -121,3 +123,33 @@
     assert!(matches!(release_state(&world), Some(ReleaseState::Halted(_))), "{:?}", release_state(&world));
     assert_eq!((world.most_out, world.violation.clone()), (out, None));
 }
+
+/// The store becomes free when the process before ends. A request that came shortly before that was forgotten: its
+/// operator had no answer, and the node sent no further status requests.
+#[test]
+fn a_request_is_answered_although_its_node_joins_anew_with_its_store() {
+    let config = |saved: Option<StoredState>| FleetConfig {
+        name: name(2),
+        policy: policy(3, 3),
+        incarnation: Incarnation(9),
+        seed: 9,
+        version: "v1".into(),
+        saved,
+        spoilt: false,
+        longest_log: LONGEST_LOG,
+    };
+    let at_ms = |ms: u64| Timestamp(0).plus_ms(ms);
+    let mut fleet = Fleet::new(config(None), at_ms(0));
+    fleet.ask(at_ms(100), RequestId("order".into()), Command::Drain { unit: name(1) });
+    fleet.tick(at_ms(200), NodeStatus::default());
+    fleet.rejoin(config(Some(StoredState::default())), at_ms(250));
+    let mut replies = Vec::new();
+    for ms in (300..1_200).step_by(100) {
+        fleet.tick(at_ms(ms), NodeStatus::default());
+        replies.extend(fleet.take_actions().into_iter().filter_map(|action| match action {
+            Action::Reply(id, result) => Some((id.0, result)),
+            _ => None,
+        }));
+    }
+    assert_eq!(replies, [("order".to_owned(), RequestResult::Unknown)]);
+}
--- a/crates/node/src/fleet/store.rs
+++ b/crates/node/src/fleet/store.rs
@@ -8,7 +8,7 @@
 use glendeck::domain::Span;
 use glendeck_fleet::policy::UnitName;
 use glendeck_fleet::state::Incarnation;
-use glendeck_fleet::{Fleet, FleetConfig, LONGEST_LOG, StoreWrite};
+use glendeck_fleet::{FleetConfig, LONGEST_LOG, StoreWrite};
 use glendeck_store::{DiskFaults, Outcome, Store, StoreError};
 use tracing::{error, info, warn};
 
@@ -125,7 +125,7 @@
         let Some(membership) = &mut self.membership else { return };
         membership.store = Some(store);
         membership.store_retry_ticks = None;
-        membership.fleet = Fleet::new(config, now);
+        membership.fleet.rejoin(config, now);
         self.avoid_hosts(BTreeSet::new(), Span::ZERO);
         self.report_endpoints();
         if let Err(cause) = watched {
