Let the next process of a drained node end the drain with its fleet's lease

Seen: a node that its fleet drained, and whose process was replaced, stays out after `glendeck activate`, for as long as the process runs. The node is told by its fleet only, so nothing brings it back. Cause: the next process inherits the drain but not the lease, which was known to the process that began the drain only. That one leaves the end of a drain to its successor once it is replaced. Evidence: scenario replaced on the code before: 45 s after activate the front sees the node out; its log has no end of the drain. Change: a process that drains without a lease takes on the lease of its unit once it knows the current state of the fleet. An outdated state would end a later drain, so it waits for that. A process that is out may take a store that becomes free, as it no longer forgets the lease by that; it went without a vote until the lease ended. Tests: scenario replaced, with steps next and ended for the harness (a node's next process beside the one that runs); three tests of crates/fleet.

--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -35,6 +35,9 @@
 pub struct NodeStatus {
     /// Whether it accepts clients; nothing but the fleet prevents it from doing so.
     pub serving: bool,
+    /// Whether it drains, on the fleet's order to this process or to an earlier one that this process
+    /// replaced. False for a process that is itself replaced or leaving: it cannot end the drain.
+    pub draining: bool,
     /// Whether it was told to drain and holds nothing any more, such as calls in flight.
     pub drained: bool,
     /// Calls that ended.
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -130,6 +130,9 @@
         self.node_status = node_status;
         self.avoidance.record_count();
         self.member.note_totals(now, &self.node_status);
+        if self.is_current() {
+            self.member.inherit_drain(&self.context, &self.node_status);
+        }
         if now >= self.next_tick {
             // Ticks that were missed while the process was stopped are skipped.
             self.next_tick = now.plus_ms(TICK_MS);
--- a/crates/fleet/src/fleet/queries.rs
+++ b/crates/fleet/src/fleet/queries.rs
@@ -6,7 +6,7 @@
 use crate::context::Context;
 use crate::message::VoterStatus;
 use crate::policy::UnitName;
-use crate::state::{BootCount, Cause, Lease, State};
+use crate::state::{BootCount, State};
 use crate::timing::{HEARTBEAT_MS, VOTER_SILENCE_MS};
 use crate::view::FleetView;
 
@@ -52,11 +52,6 @@
         self.replica.is_leader()
     }
 
-    /// The lease under which this process is out and its cause, if it is out.
-    pub fn is_out(&self) -> Option<(Lease, Cause)> {
-        self.member.drain().map(|drain| (drain.lease, drain.cause))
-    }
-
     /// How often the node's store was opened.
     pub fn boot_count(&self) -> BootCount {
         self.context.boot_count
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -95,6 +95,21 @@
         }
     }
 
+    /// Takes on the lease of a drain that an earlier process of the unit began and this one continues;
+    /// otherwise nothing would end the drain with the lease. Called only while the state is current, as the
+    /// lease of an outdated state may have ended, and would end the drain of a later one.
+    pub(crate) fn inherit_drain(&mut self, context: &Context, status: &NodeStatus) {
+        if self.drain.is_some() || !status.draining {
+            return;
+        }
+        let unit_state = context.state.units.get(&context.name).map(|unit| &unit.unit_state);
+        if let Some(UnitState::Begun { lease, cause, .. } | UnitState::Returning { lease, cause }) =
+            unit_state
+        {
+            self.drain = Some(CurrentDrain { lease: *lease, cause: *cause });
+        }
+    }
+
     /// The unit's next step according to the replicated state.
     pub(crate) fn follow(
         &mut self,
--- a/crates/fleet/tests/schedules/releases.rs
+++ b/crates/fleet/tests/schedules/releases.rs
@@ -1,10 +1,10 @@
 //! Releases: halts, rollbacks and repeated requests.
 
 use glendeck_fleet::policy::{Act, OnHalt};
-use glendeck_fleet::state::{Command, ReleaseState};
+use glendeck_fleet::state::{Command, ReleaseState, UnitState};
 
 use crate::common::{name, release, release_state, started_fleet};
-use crate::world::{Fault, plan};
+use crate::world::{Fault, World, plan};
 
 #[test]
 fn a_version_that_fails_calls_halts_its_release_and_is_rolled_back() {
@@ -54,3 +54,47 @@
     assert!(world.wait_for(45_000, |world| matches!(release_state(world), Some(ReleaseState::Halted(_)))));
     assert!(!world.is_out(4) && world.violation.is_none());
 }
+
+/// The process that began the drain took the lease with it, and nothing ended the drain of the next one.
+#[test]
+fn a_process_that_inherits_a_drain_takes_clients_again_when_its_lease_ends() {
+    let (mut world, leader) = started_fleet(5, 3);
+    for (round, out_before_ms) in [0, 1_500, 6_000].into_iter().enumerate() {
+        world.request_now(leader, &format!("drain {round}"), Command::Drain { unit: name(4) });
+        assert!(world.wait_for(5_000, |world| world.is_out(4)));
+        world.run_until(world.now_ms() + out_before_ms);
+        world.replace_drained_now(4, "v1");
+        world.run_until(world.now_ms() + 4_000);
+        assert!(world.is_out(4), "the drain ended without the lease");
+        world.request_now(leader, &format!("activate {round}"), Command::Activate { unit: name(4) });
+        assert!(world.wait_for(3_000, |world| !world.is_out(4)), "the drain outlived its lease");
+        let serves =
+            |world: &World| world.newest_state().unwrap().units[&name(4)].unit_state == UnitState::Serving;
+        assert!(world.wait_for(15_000, serves), "not marked as serving");
+    }
+    assert_eq!(world.violation, None);
+}
+
+/// While the next process drains, its order may already be over: it must not wait for another one.
+#[test]
+fn a_process_that_starts_while_its_inherited_lease_ends_takes_clients_again() {
+    let (mut world, leader) = started_fleet(5, 3);
+    world.request_now(leader, "drain", Command::Drain { unit: name(4) });
+    assert!(world.wait_for(5_000, |world| world.is_out(4)));
+    world.request_now(leader, "activate", Command::Activate { unit: name(4) });
+    world.replace_drained_now(4, "v1");
+    assert!(world.wait_for(3_000, |world| !world.is_out(4)), "the drain outlived its lease");
+    assert_eq!(world.violation, None);
+}
+
+#[test]
+fn a_process_that_inherits_the_drain_of_a_release_exits_for_its_version() {
+    let (mut world, leader) = started_fleet(5, 3);
+    release(&mut world, leader, "v2");
+    assert!(world.wait_for(5_000, |world| world.count_out() > 0));
+    let node = (0..5).find(|node| world.is_out(*node)).unwrap();
+    world.replace_drained_now(node, "v1");
+    assert!(world.wait_for(120_000, |world| release_state(world) == Some(ReleaseState::Finished)));
+    assert!(world.versions().iter().all(|version| *version == "v2"), "{:?}", world.versions());
+    assert_eq!(world.violation, None);
+}
--- a/crates/fleet/tests/schedules/world/mod.rs
+++ b/crates/fleet/tests/schedules/world/mod.rs
@@ -3,6 +3,7 @@
 //! simulated time unless a name or comment says otherwise; nodes are given by index.
 
 pub(crate) mod hosts;
+mod replacement;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -446,6 +447,7 @@
         let calls = now / 20;
         NodeStatus {
             serving: process.serving && process.out.is_none(),
+            draining: process.serving && process.out.is_some(),
             drained: process.drained,
             calls,
             failed: if fails_calls { calls / 4 } else { calls / 200 },
@@ -460,6 +462,12 @@
         if self.processes[node].fleet.is_some() {
             return;
         }
+        let incarnation = self.launch(node, version);
+        self.schedule(500, Event::StartServing(node, incarnation));
+    }
+
+    /// Starts a process, which does not serve yet, and returns its incarnation.
+    fn launch(&mut self, node: usize, version: String) -> Incarnation {
         self.incarnations_started += 1;
         let (incarnation, seed) = (Incarnation(self.incarnations_started), self.random_below(1 << 40));
         let small = self.processes.len() < 50;
@@ -497,7 +505,7 @@
             }
         }
         self.schedule(node as u64 % 100, Event::Tick(node, incarnation));
-        self.schedule(500, Event::StartServing(node, incarnation));
+        incarnation
     }
 
     fn notify_link_up(&mut self, a: usize, b: usize) {
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -85,7 +85,10 @@
     pub discovery: FakeDiscovery,
     attempts: Attempts,
     supervisor: Supervisor,
+    /// Where the newest process of each node listens for operators.
     admin_addresses: Vec<SocketAddr>,
+    /// Where the next process of each node will.
+    successor_admin_addresses: Vec<SocketAddr>,
     folder: PathBuf,
     _reserved: Vec<OwnedFd>,
 }
@@ -104,7 +107,9 @@
         let hosts = (0..spec.hosts).map(|host| FakeHost::start(&format!("h{host}"), host % 2, &observations));
         let hosts = hosts.collect::<Result<Vec<_>, _>>()?;
         let discovery = FakeDiscovery::start(&hosts)?;
-        let (addresses, reserved) = reserve_addresses(spec.nodes)?;
+        let (addresses, mut reserved) = reserve_addresses(spec.nodes)?;
+        let (successor_fds, successor_admin_addresses) = reserve_successor_addresses(spec.nodes)?;
+        reserved.extend(successor_fds);
         let links = Links::default();
         for (node, own) in addresses.iter().enumerate() {
             let peers = link_to_peers(&spec, node, &addresses, &links)?;
@@ -114,6 +119,7 @@
             let config = node_config(&spec, node, *own, &peers, discovery.address, &folder);
             std::fs::write(node_folder.join("node.json"), config.to_string())?;
         }
+        let admin_addresses: Vec<SocketAddr> = addresses.iter().map(|own| own.admin).collect();
         let cluster = Cluster {
             clients: Clients::start(addresses.iter().map(|own| own.clients).collect()),
             links,
@@ -123,8 +129,9 @@
             hosts,
             discovery,
             attempts: observations.attempts,
-            supervisor: Supervisor::new(&spec, &folder),
-            admin_addresses: addresses.iter().map(|own| own.admin).collect(),
+            supervisor: Supervisor::new(&spec, &folder, &admin_addresses),
+            admin_addresses,
+            successor_admin_addresses,
             folder,
             _reserved: reserved,
             spec,
@@ -144,6 +151,29 @@
         self.supervisor.start(node)
     }
 
+    /// Starts the next process of a node beside the one that runs. Orders go to the next one from here on.
+    ///
+    /// # Errors
+    /// The system grants no process.
+    pub fn start_successor(&mut self, node: usize) -> std::io::Result<()> {
+        std::mem::swap(&mut self.admin_addresses[node], &mut self.successor_admin_addresses[node]);
+        self.supervisor.start_successor(node, self.admin_addresses[node])
+    }
+
+    /// Whether a node's process before the newest one says that it is replaced.
+    pub fn is_predecessor_replaced(&self, node: usize) -> bool {
+        let reply = call_admin(self.successor_admin_addresses[node], "GET", "/v1/readyz", &Value::Null);
+        reply.is_ok_and(|reply| reply.body["phase"] == "replaced")
+    }
+
+    /// Tells the process that was replaced to end, and waits until it has.
+    ///
+    /// # Errors
+    /// No process was replaced, or it cannot be waited for.
+    pub fn end_predecessor(&self, node: usize) -> std::io::Result<()> {
+        self.supervisor.end_predecessor(node)
+    }
+
     /// Nodes that serve again count again.
     pub fn clear_recovered(&self) {
         self.clients.frontend().clear_recovered(RECOVERED_AFTER);
@@ -231,17 +261,7 @@
     /// # Errors
     /// The admin interface is not there, or its answer is no HTTP.
     pub fn call(&self, node: usize, method: &str, path: &str, body: &Value) -> std::io::Result<AdminReply> {
-        let mut stream = TcpStream::connect_timeout(&self.admin_addresses[node], ADMIN_CONNECT_TIMEOUT)?;
-        stream.set_read_timeout(Some(ADMIN_READ_TIMEOUT))?;
-        let body = if body.is_null() { String::new() } else { body.to_string() };
-        let length = body.len();
-        write!(stream, "{method} {path} HTTP/1.1\r\nHost: admin\r\nContent-Length: {length}\r\n\r\n{body}")?;
-        let mut text = String::new();
-        stream.read_to_string(&mut text)?;
-        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
-        let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
-        let status = status.ok_or_else(|| std::io::Error::other("no answer at the admin interface"))?;
-        Ok(AdminReply { status, body: serde_json::from_str(body).unwrap_or(Value::Null) })
+        call_admin(self.admin_addresses[node], method, path, body)
     }
 
     /// The address of a node's admin interface.
@@ -296,6 +316,12 @@
     Ok((addresses, reserved))
 }
 
+/// The addresses where the nodes' next processes listen for operators.
+fn reserve_successor_addresses(nodes: usize) -> std::io::Result<(Vec<OwnedFd>, Vec<SocketAddr>)> {
+    let reserved: Vec<_> = (0..nodes).map(|_| reserve()).collect::<Result<_, _>>()?;
+    Ok(reserved.into_iter().unzip())
+}
+
 /// Starts the proxies at which a node dials its peers; returns their addresses by the peers' names.
 fn link_to_peers(
     spec: &ClusterSpec,
@@ -313,3 +339,17 @@
     }
     Ok(peers)
 }
+
+fn call_admin(address: SocketAddr, method: &str, path: &str, body: &Value) -> std::io::Result<AdminReply> {
+    let mut stream = TcpStream::connect_timeout(&address, ADMIN_CONNECT_TIMEOUT)?;
+    stream.set_read_timeout(Some(ADMIN_READ_TIMEOUT))?;
+    let body = if body.is_null() { String::new() } else { body.to_string() };
+    let length = body.len();
+    write!(stream, "{method} {path} HTTP/1.1\r\nHost: admin\r\nContent-Length: {length}\r\n\r\n{body}")?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let status = status.ok_or_else(|| std::io::Error::other("no answer at the admin interface"))?;
+    Ok(AdminReply { status, body: serde_json::from_str(body).unwrap_or(Value::Null) })
+}
--- a/crates/harness/src/supervisor.rs
+++ b/crates/harness/src/supervisor.rs
@@ -1,5 +1,6 @@
 //! The processes of a cluster's nodes, and a supervisor that starts again what has exited by itself.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
@@ -14,9 +15,12 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
-#[derive(Default)]
 struct NodeProcess {
     child: Option<Child>,
+    /// The process that `child` replaces, until it is told to end.
+    predecessor: Option<Child>,
+    /// Where `child` listens for operators.
+    admin: SocketAddr,
     version: String,
     /// It is not started again.
     is_held_down: bool,
@@ -28,6 +32,26 @@
     failed_exit: Option<String>,
 }
 
+impl NodeProcess {
+    fn not_running(admin: SocketAddr) -> NodeProcess {
+        NodeProcess {
+            child: None,
+            predecessor: None,
+            admin,
+            version: "v1".into(),
+            is_held_down: false,
+            starts: 0,
+            was_killed: false,
+            ahead_s: 0,
+            failed_exit: None,
+        }
+    }
+
+    fn kill_all(&mut self) {
+        self.child.take().into_iter().chain(self.predecessor.take()).for_each(kill_and_reap);
+    }
+}
+
 /// All processes of a cluster.
 pub(crate) struct Supervisor {
     spec: ClusterSpec,
@@ -36,14 +60,10 @@
 }
 
 impl Supervisor {
-    /// A supervisor of nodes that are not running yet.
-    pub(crate) fn new(spec: &ClusterSpec, folder: &Path) -> Supervisor {
-        let fresh = |_| NodeProcess { version: "v1".into(), ..NodeProcess::default() };
-        Supervisor {
-            spec: spec.clone(),
-            folder: folder.to_owned(),
-            nodes: Arc::new(Mutex::new((0..spec.nodes).map(fresh).collect())),
-        }
+    /// A supervisor of nodes that are not running yet, with the addresses where they listen for operators.
+    pub(crate) fn new(spec: &ClusterSpec, folder: &Path, admin: &[SocketAddr]) -> Supervisor {
+        let nodes = admin.iter().copied().map(NodeProcess::not_running).collect();
+        Supervisor { spec: spec.clone(), folder: folder.to_owned(), nodes: Arc::new(Mutex::new(nodes)) }
     }
 
     /// Starts again what exits by itself, in the version that it asked for, until this supervisor is dropped.
@@ -83,15 +103,42 @@
         Ok(())
     }
 
+    /// Starts a node's next process beside the one that runs, which listens for operators at another address.
+    ///
+    /// # Errors
+    /// The system grants no process.
+    pub(crate) fn start_successor(&self, node: usize, admin: SocketAddr) -> std::io::Result<()> {
+        let Ok(mut nodes) = self.nodes.lock() else { return Ok(()) };
+        let process = &mut nodes[node];
+        process.predecessor = process.child.take();
+        process.admin = admin;
+        launch(&self.spec, &self.folder, node, process)
+    }
+
+    /// Tells the process that was replaced to end, and waits until it has.
+    ///
+    /// # Errors
+    /// No process was replaced, or it cannot be waited for.
+    pub(crate) fn end_predecessor(&self, node: usize) -> std::io::Result<()> {
+        let predecessor = self.nodes.lock().ok().and_then(|mut nodes| nodes[node].predecessor.take());
+        let mut predecessor = predecessor.ok_or_else(|| std::io::Error::other("no process was replaced"))?;
+        kill_process(Pid::from_child(&predecessor), Signal::TERM)?;
+        let status = predecessor.wait()?;
+        if !status.success()
+            && let Ok(mut nodes) = self.nodes.lock()
+        {
+            nodes[node].failed_exit = Some(format!("n{node} ended with {status}"));
+        }
+        Ok(())
+    }
+
     /// Kills a node outright; it stays down.
     pub(crate) fn kill(&self, node: usize) {
         let Ok(mut nodes) = self.nodes.lock() else { return };
         let process = &mut nodes[node];
         process.is_held_down = true;
         process.was_killed = true;
-        if let Some(child) = process.child.take() {
-            kill_and_reap(child);
-        }
+        process.kill_all();
     }
 
     /// Sends a signal to a node's process, if there is one.
@@ -135,11 +182,7 @@
 impl Drop for Supervisor {
     fn drop(&mut self) {
         let Ok(mut nodes) = self.nodes.lock() else { return };
-        for process in nodes.iter_mut() {
-            if let Some(child) = process.child.take() {
-                kill_and_reap(child);
-            }
-        }
+        nodes.iter_mut().for_each(NodeProcess::kill_all);
         nodes.clear();
     }
 }
@@ -169,12 +212,13 @@
 fn launch(spec: &ClusterSpec, folder: &Path, node: usize, process: &mut NodeProcess) -> std::io::Result<()> {
     let node_folder = folder.join(format!("n{node}"));
     let mut command = Command::new(&spec.program);
-    for key in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_ADMIN"] {
+    for key in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
         command.env_remove(key);
     }
     let ahead_s = process.ahead_s * i64::from(process.starts + 1);
     command
         .env("ROUTER_CONFIG", node_folder.join("node.json"))
+        .env("ROUTER_ADMIN", process.admin.to_string())
         .env("TMPDIR", node_folder.join("tmp"))
         .env("ROUTER_FLEET_VERSION", &process.version)
         .env("HARNESS_CLOCK", ahead_s.to_string())
--- a/crates/harness/tests/processes/faults.rs
+++ b/crates/harness/tests/processes/faults.rs
@@ -5,7 +5,7 @@
 
 use rustix::process::Signal;
 
-use crate::Run;
+use crate::{PATIENCE, Run, until};
 
 impl Run {
     pub(crate) fn play_faults(&mut self, words: &[&str]) {
@@ -18,6 +18,12 @@
             ["start", "all"] => {
                 (0..self.cluster.spec.nodes).for_each(|at| self.cluster.start_node(at).unwrap())
             }
+            ["next", unit] => {
+                let at = self.node(unit);
+                self.cluster.start_successor(at).unwrap();
+                until(&format!("{unit} replaced"), PATIENCE, || self.cluster.is_predecessor_replaced(at));
+            }
+            ["ended", unit] => self.cluster.end_predecessor(self.node(unit)).unwrap(),
             ["start", unit] => self.cluster.start_node(self.node(unit)).unwrap(),
             ["stop", unit] => {
                 self.cluster.signal(self.node(unit), Signal::STOP);
--- a/crates/harness/tests/processes/main.rs
+++ b/crates/harness/tests/processes/main.rs
@@ -99,8 +99,8 @@
                 self.play_links(words);
             }
             [
-                "kill" | "start" | "stop" | "continue" | "copy" | "older" | "nofolder" | "torn" | "flip"
-                | "disk" | "clock",
+                "kill" | "next" | "ended" | "start" | "stop" | "continue" | "copy" | "older" | "nofolder"
+                | "torn" | "flip" | "disk" | "clock",
                 ..,
             ] => self.play_faults(words),
             ["keeping" | "notkeeping" | "chair" | "seats" | "doubled" | "unconfirmed", ..] => {
@@ -166,6 +166,7 @@
 #[test_case("takers"; "nodes, takers and hosts are lost together, and old ones wake")]
 #[test_case("garbled"; "links that turn bits over")]
 #[test_case("links"; "links that are slow, one-way, stalled, flapping or resetting")]
+#[test_case("replaced"; "a node that its fleet drained takes clients again after its process was replaced")]
 #[test_case("longer_guard"; "replicas keep the intents of calls that a reload gave more time")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -211,8 +211,10 @@
 
     fn node_status(&self) -> NodeStatus {
         let totals = self.metrics.totals();
+        let can_end_drain = matches!(self.phase, Phase::Starting | Phase::Serving);
         NodeStatus {
             serving: self.phase == Phase::Serving && !self.is_draining(),
+            draining: self.is_draining() && can_end_drain,
             drained: self.is_drained(),
             calls: totals.calls,
             failed: totals.failed,
--- a/crates/node/src/fleet/store.rs
+++ b/crates/node/src/fleet/store.rs
@@ -105,11 +105,6 @@
             return;
         }
         *ticks = RETRY_TICKS;
-        // A node that is out under a lease keeps its `Fleet` until the lease ends, as a new one would not
-        // know the lease.
-        if membership.fleet.is_out().is_some() {
-            return;
-        }
         let Some(settings) = &self.config.fleet else { return };
         let faults = membership.faults.clone();
         let opened = open_store(settings, &membership.name, membership.incarnation, faults);
