End commands whose output has no reader with their exit code, not with a panic

Seen: `glendeck fleet status | head -1` ends with 101 and a backtrace if its reader has gone, and so does the simulator adapter when it reports invalid input and nobody reads its errors. Cause: println! and eprintln! panic when they cannot write. Change: one module prints. Without a reader a command ends quietly, with the exit code of what it did (3 for a status that is not confirmed, as before); output that cannot be written for another reason, as on a full disk, is an error with exit code 3.

--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -6,6 +6,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::error::CommandError;
+use crate::output::print_line;
 
 /// Checks a file and prints a summary of it; a release's file checked against a fleet prints its waves.
 pub(crate) fn run(path: &Path, fleet: Option<&Path>) -> Result<(), CommandError> {
@@ -13,8 +14,7 @@
         Some(fleet) => waves(&read_plan(path)?, &read_policy(fleet)?)?,
         None => describe(path)?,
     };
-    println!("{text}");
-    Ok(())
+    print_line(text)
 }
 
 /// Reads a release's plan.
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 
 use crate::error::CommandError;
+use crate::output::print_line;
 use crate::show;
 use crate::status::{ReleaseState, Status};
 
@@ -31,11 +32,11 @@
     drain_and_activate(&cluster)?;
     release(&cluster)?;
     if !stay.is_zero() {
-        println!(
+        print_line(format_args!(
             "\nthe cluster keeps running for {} s: try `glendeck fleet status --door {}`",
             stay.as_secs(),
             cluster.admin_address(0)
-        );
+        ))?;
         std::thread::sleep(stay);
     }
     report_clients(cluster)
@@ -65,20 +66,22 @@
         program,
         logs: None,
     };
-    println!(
-        "starting three nodes, three hosts, a discovery service, a front end and 30 clients on loopback"
-    );
+    print_line(
+        "starting three nodes, three hosts, a discovery service, a front end and 30 clients on loopback",
+    )?;
     let mut cluster = Cluster::start(spec).map_err(unanswered)?;
     cluster.clients.add_clients(CLIENTS, 1);
     wait("all nodes are serving", || (0..NODES).all(|node| is_serving(&cluster, node)))?;
     // Resets the maximum of nodes out at once, since nodes that had not started yet were counted as out.
     cluster.clients.reset_most_out();
-    println!("forming the fleet; the fleet counts a node as serving after it has been seen to serve for 5 s");
+    print_line(
+        "forming the fleet; the fleet counts a node as serving after it has been seen to serve for 5 s",
+    )?;
     wait("the fleet sees all nodes as serving", || is_settled(&cluster))?;
     for node in 0..NODES {
-        println!("  n{node}: admin interface at {}", cluster.admin_address(node));
+        print_line(format_args!("  n{node}: admin interface at {}", cluster.admin_address(node)))?;
     }
-    println!("{}\n", show::status(&status(&cluster).unwrap_or_default()));
+    print_line(format_args!("{}\n", show::status(&status(&cluster).unwrap_or_default())))?;
     Ok(cluster)
 }
 
@@ -86,12 +89,11 @@
     order(cluster, "/v1/fleet/drain", &json!({"unit": "n2", "id": "demo drain"}))?;
     order(cluster, "/v1/fleet/drain", &json!({"unit": "n1", "id": "demo second drain"}))?;
     wait("n2 is out", || !is_serving(cluster, 2))?;
-    println!("the front end sends no clients to n2; its clients reconnect to the other nodes");
+    print_line("the front end sends no clients to n2; its clients reconnect to the other nodes")?;
     std::thread::sleep(OUT_TIME);
     order(cluster, "/v1/fleet/activate", &json!({"unit": "n2", "id": "demo activate"}))?;
     wait("n2 is back", || is_settled(cluster))?;
-    println!("n2 is back\n");
-    Ok(())
+    print_line("n2 is back\n")
 }
 
 fn release(cluster: &Cluster) -> Result<(), CommandError> {
@@ -107,7 +109,8 @@
         let Some(status) = status(cluster) else { return false };
         let text = show::release(&status);
         if text != printed {
-            println!("{text}");
+            // The next line that is printed reports an error of this one.
+            let _ = print_line(&text);
             printed = text;
         }
         let state = status.state.release.map(|release| release.state);
@@ -117,7 +120,7 @@
 
 fn report_clients(cluster: Cluster) -> Result<(), CommandError> {
     let seen = cluster.clients.end();
-    println!(
+    print_line(format_args!(
         "\nclients: {} calls answered, {} rejected, {} failed, {} moved, {} lost; most nodes out at once: {}",
         seen.answered,
         seen.busy,
@@ -125,7 +128,7 @@
         seen.moved,
         seen.lost.len(),
         seen.most_out
-    );
+    ))?;
     if seen.lost.is_empty() { Ok(()) } else { Err(CommandError::Refused(seen.lost.join("\n"))) }
 }
 
@@ -154,8 +157,7 @@
     let AdminReply { status: code, body: json } = cluster.call(0, "POST", path, body).map_err(unanswered)?;
     let reply = Reply::deserialize(&json).unwrap_or_default();
     let text = reply.said.or(reply.why).unwrap_or_else(|| "-".into());
-    println!("POST {path} {body} -> {code} {text}");
-    Ok(())
+    print_line(format_args!("POST {path} {body} -> {code} {text}"))
 }
 
 fn wait(condition: &str, mut holds: impl FnMut() -> bool) -> Result<(), CommandError> {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,6 +1,8 @@
 //! Errors of commands, with their exit codes.
 
-/// An error that ends a command with an exit code other than 0.
+use std::io;
+
+/// What ends a command early.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum CommandError {
     /// A node refused the request, or the requested state does not hold.
@@ -9,6 +11,12 @@
     /// The command, or a file that it names, is invalid.
     #[error("{0}")]
     Invalid(String),
+    /// Nobody reads the output any more.
+    #[error("nobody reads the output")]
+    NoReader,
+    /// The output cannot be written.
+    #[error("cannot write the output: {0}")]
+    Output(#[source] io::Error),
     /// No node answered, the answer is unconfirmed or cannot be decoded, or no decision was reached in time.
     #[error("{0}")]
     Unanswered(String),
@@ -18,9 +26,10 @@
     /// The exit code, by which scripts tell the kinds of errors apart.
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
+            CommandError::NoReader => 0,
             CommandError::Refused(_) => 1,
             CommandError::Invalid(_) => 2,
-            CommandError::Unanswered(_) => 3,
+            CommandError::Unanswered(_) | CommandError::Output(_) => 3,
         }
     }
 }
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -5,6 +5,7 @@
 use crate::args::FleetCommand;
 use crate::error::CommandError;
 use crate::order::Order;
+use crate::output::print_line;
 use crate::session::{FetchedStatus, Session};
 use crate::{show, trace};
 
@@ -37,9 +38,8 @@
 
 fn print_takeover(session: &Session, json: Value) -> Result<(), CommandError> {
     if session.is_json {
-        println!("{}", json!({"name": json["name"], "work": json["work"]}));
+        print_line(json!({"name": json["name"], "work": json["work"]}))
     } else {
-        println!("{}", show::takeover(&FetchedStatus::new(json)?.status));
+        print_line(show::takeover(&FetchedStatus::new(json)?.status))
     }
-    Ok(())
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -12,6 +12,7 @@
 mod error;
 mod fleet;
 mod order;
+mod output;
 mod release;
 mod session;
 mod show;
@@ -27,6 +28,7 @@
 use args::{Cli, Command};
 use error::CommandError;
 use order::Order;
+use output::{print_error, print_line};
 use session::Session;
 
 fn main() -> ExitCode {
@@ -34,16 +36,23 @@
     match run(&cli) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            if cli.target.json {
-                println!("{}", json!({"done": false, "why": error.to_string()}));
-            } else {
-                eprintln!("glendeck: {error}");
-            }
+            report(&error, cli.target.json);
             ExitCode::from(error.exit_code())
         }
     }
 }
 
+/// Prints an error. If that fails too, the exit code is all that tells of it.
+fn report(error: &CommandError, is_json: bool) {
+    if matches!(error, CommandError::NoReader) {
+        return;
+    }
+    let is_printed = is_json && print_line(json!({"done": false, "why": error.to_string()})).is_ok();
+    if !is_printed {
+        print_error(format_args!("glendeck: {error}"));
+    }
+}
+
 fn run(cli: &Cli) -> Result<(), CommandError> {
     let session = Session::new(&cli.target);
     match &cli.command {
--- a/crates/cli/src/release.rs
+++ b/crates/cli/src/release.rs
@@ -6,6 +6,7 @@
 use crate::check;
 use crate::error::CommandError;
 use crate::order::Order;
+use crate::output::print_line;
 use crate::session::{FetchedStatus, Session};
 use crate::show;
 use crate::status::ReleaseState;
@@ -18,8 +19,7 @@
         ReleaseCommand::Check { plan, fleet } => {
             let plan = check::read_plan(plan)?;
             let policy = check::read_policy(fleet)?;
-            println!("{}", check::waves(&plan, &policy)?);
-            Ok(())
+            print_line(check::waves(&plan, &policy)?)
         }
         ReleaseCommand::Start { plan } => {
             let plan = check::read_plan(plan)?;
@@ -44,7 +44,7 @@
         let text =
             if session.is_json { json["state"]["release"].to_string() } else { show::release(&status) };
         if text != printed {
-            println!("{text}");
+            print_line(&text)?;
             printed = text;
         }
         match status.state.release.map(|release| release.state) {
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -7,6 +7,7 @@
 use crate::args::Target;
 use crate::error::CommandError;
 use crate::order::{Order, OrderRequest};
+use crate::output::print_line;
 use crate::show;
 use crate::status::Status;
 
@@ -63,12 +64,10 @@
         let request = OrderRequest::new(order, self.order_id.map(str::to_owned));
         let json = self.admin.order(&request)?;
         if self.is_json {
-            println!("{json}");
-        } else {
-            let reply = Reply::deserialize(&json).unwrap_or_default();
-            println!("{}", reply.said.as_deref().unwrap_or("done"));
+            return print_line(json);
         }
-        Ok(())
+        let reply = Reply::deserialize(&json).unwrap_or_default();
+        print_line(reply.said.as_deref().unwrap_or("done"))
     }
 
     /// Prints the status of the first node that answers.
@@ -78,13 +77,9 @@
     /// that it may be stale.
     pub(crate) fn show_status(&self, as_text: impl Fn(&Status) -> String) -> Result<(), CommandError> {
         let FetchedStatus { json, status } = self.status()?;
-        if self.is_json {
-            println!("{json}");
-        } else {
-            println!("{}", as_text(&status));
-        }
+        let printed = if self.is_json { print_line(json) } else { print_line(as_text(&status)) };
         if status.is_confirmed {
-            return Ok(());
+            return printed;
         }
         let unheard = show::names(&status.unheard_voters);
         Err(CommandError::Unanswered(format!(
--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -11,6 +11,7 @@
 use std::path::{Path, PathBuf};
 
 use crate::error::CommandError;
+use crate::output::print_line;
 
 /// Keys of log lines: the key that nodes write now, then the one that earlier versions wrote. Logs of both
 /// versions exist during a rolling release.
@@ -39,7 +40,7 @@
     // The sort is stable: lines with the same timestamp stay in the order of their logs.
     found.sort_by(|line, other| line.time.cmp(&other.time));
     for line in found {
-        println!("{}", line.text);
+        print_line(line.text)?;
     }
     Ok(())
 }
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -22,7 +22,8 @@
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("glendeck-simulator-adapter: {error}");
+            // The exit code tells of the error even if nobody reads the line.
+            let _ = writeln!(io::stderr(), "glendeck-simulator-adapter: {error}");
             ExitCode::FAILURE
         }
     }
--- a/crates/simulator-adapter/tests/recorded_batches.rs
+++ b/crates/simulator-adapter/tests/recorded_batches.rs
@@ -66,3 +66,17 @@
         assert_eq!(String::from_utf8_lossy(&output.stderr).trim(), message, "{name}");
     }
 }
+
+/// The exit code tells of invalid input even if nobody reads the message.
+#[test]
+fn invalid_input_without_a_reader_of_errors_ends_with_exit_code_1() {
+    let (_, errors) = std::io::pipe().expect("a pipe");
+    let mut adapter = Command::new(env!("CARGO_BIN_EXE_glendeck-simulator-adapter"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .stderr(errors)
+        .spawn()
+        .expect("the adapter starts");
+    adapter.stdin.take().expect("its input is a pipe").write_all(&[0xff; 64]).expect("it is read");
+    assert_eq!(adapter.wait().expect("it ends").code(), Some(1));
+}
