Write the node's log from a thread of its own, and count the lines that are lost

Cause: the event loop wrote standard error itself. A write to a full pipe blocks; a failed one was reported by the logging library with eprintln!, which panics. On a related path a panic with a reader that stands still waited in the standard hook for good. Change: lines go into a bounded queue that drops what does not fit, and a thread writes them (tracing-appender's non-blocking writer). Lost lines are counted in log_lines_lost, and told before the next line that is written. Panics are lines of the log. The exit waits 0.1 s at most for the last lines, after connections are closed; the library's own wait, up to 1.1 s, goes on in another thread. The recorded metrics page has the new key; its check is as strict.

--- a/crates/node/src/admin/tests.rs
+++ b/crates/node/src/admin/tests.rs
@@ -85,6 +85,7 @@
         hosts_listed: 4,
         hosts_down: 1,
         slowest_turn_ms: Span::ms(2).seconds() * 1e3,
+        log_lines_lost: 7,
     };
     let mut bytes = Vec::new();
     Reply::new(Status::Ok, &page).encode(true, &mut bytes);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod hosts;
 mod http;
 mod lifecycle;
+mod logging;
 mod metrics;
 mod peers;
 mod protocol;
@@ -30,8 +31,10 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use logging::Log;
 use service::{Service, ServiceError};
 use tracing::error;
+use tracing::level_filters::LevelFilter;
 
 /// Why the program cannot start or stops with an error.
 #[derive(Debug, thiserror::Error)]
@@ -55,7 +58,12 @@
 ///
 /// The exit code tells whether the node started and served without an error; errors are logged.
 pub fn run(faults: InjectedFaults) -> ExitCode {
-    match serve(faults) {
+    let level = config::log_level();
+    // Dropped last, as it writes the last lines.
+    let log = Log::start(*level.as_ref().unwrap_or(&LevelFilter::INFO));
+    // An invalid log level is itself logged as an error, at the default level.
+    let result = level.map_err(RunError::from).and_then(|_| serve(faults, &log));
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
             error!("{cause}");
@@ -64,13 +72,9 @@
     }
 }
 
-fn serve(faults: InjectedFaults) -> Result<(), RunError> {
-    let level = config::log_level();
-    let shown = *level.as_ref().unwrap_or(&tracing::level_filters::LevelFilter::INFO);
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_max_level(shown).init();
-    // An invalid log level is itself logged as an error, at the default level.
-    level?;
-    let mut service = Service::start(config::from_environment()?, faults)?;
+fn serve(faults: InjectedFaults, log: &Log) -> Result<(), RunError> {
+    let config = config::from_environment()?;
+    let mut service = Service::start(config, faults, log.lost_lines.clone())?;
     service.run()?;
     Ok(())
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -106,6 +106,8 @@
     pub hosts_down: usize,
     /// The longest iteration of the event loop since the page was last read, in milliseconds.
     pub slowest_turn_ms: f64,
+    /// Log lines that were lost, as whatever collects the log did not take them.
+    pub log_lines_lost: u64,
 }
 
 impl Service {
@@ -131,6 +133,7 @@
             hosts_listed: self.hosts.listed().count(),
             hosts_down: self.hosts_down(),
             slowest_turn_ms: slowest_turn.seconds() * 1e3,
+            log_lines_lost: self.lost_log_lines.total(),
         }
     }
 }
--- a/crates/node/src/service/mod.rs
+++ b/crates/node/src/service/mod.rs
@@ -17,6 +17,7 @@
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
+use std::sync::Arc;
 
 use glendeck::Node;
 use glendeck::domain::{AttemptOutcome, Span, Time};
@@ -33,6 +34,7 @@
 use crate::handover::Handover;
 use crate::hosts::HostTable;
 use crate::lifecycle::Phase;
+use crate::logging::LostLines;
 use crate::metrics::Metrics;
 use crate::protocol::MAX_LINE_LENGTH;
 use crate::reactor::{ADMIN, Flags, LISTENER, PEERS, RELOAD_SIGNALS, STORE, SUCCESSORS, TERM_SIGNALS};
@@ -90,6 +92,8 @@
     pub membership: Option<Box<Membership>>,
     /// Call and attempt counters.
     pub metrics: Metrics,
+    /// Counts log lines that were lost.
+    pub lost_log_lines: Arc<LostLines>,
     /// Whether the node is draining.
     drain: DrainState,
     /// The longest turn of the loop since the metrics were last read.
--- a/crates/node/src/service/start.rs
+++ b/crates/node/src/service/start.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
+use std::sync::Arc;
 
 use glendeck::Node;
 use glendeck::domain::{NodeSnapshot, Span};
@@ -22,6 +23,7 @@
 use crate::handover::{Handover, HandoverState, Inherited};
 use crate::hosts::HostTable;
 use crate::lifecycle::Phase;
+use crate::logging::LostLines;
 use crate::metrics::Metrics;
 use crate::reactor::{ADMIN, Flags, LISTENER, RELOAD_SIGNALS, Reactor, TERM_SIGNALS};
 use crate::timers::{TimerEvent, Timers};
@@ -70,11 +72,13 @@
     pub(crate) fn start(
         mut config: NodeConfig,
         faults: crate::InjectedFaults,
+        lost_log_lines: Arc<LostLines>,
     ) -> Result<Service, ServiceError> {
         let inherited = Inherited::request(&config);
         let configured_list = config.known.take();
         let (sources, mut predecessor) = open_sources(&config, inherited)?;
-        let mut service = Service::new(config, sources, Clock::start(faults.clock_ahead_s));
+        let clock = Clock::start(faults.clock_ahead_s);
+        let mut service = Service::new(config, sources, clock, lost_log_lines);
         let state = predecessor.as_mut().and_then(|predecessor| predecessor.state.take());
         service.start_decision_logic(merge_initial_state(configured_list, state));
         if let Some(predecessor) = predecessor {
@@ -89,7 +93,12 @@
         Ok(service)
     }
 
-    fn new(config: NodeConfig, sources: EventSources, clock: Clock) -> Service {
+    fn new(
+        config: NodeConfig,
+        sources: EventSources,
+        clock: Clock,
+        lost_log_lines: Arc<LostLines>,
+    ) -> Service {
         Service {
             phase: Phase::Starting,
             now: clock.now(),
@@ -101,6 +110,7 @@
             handover: Handover::default(),
             membership: None,
             metrics: Metrics::new(&config.names.traffic),
+            lost_log_lines,
             drain: DrainState::default(),
             slowest_turn: Span::ZERO,
             // The seed differs from that of the decision logic, so that the two sequences are independent.
--- a/crates/node/tests/sockets/admin.rs
+++ b/crates/node/tests/sockets/admin.rs
@@ -59,7 +59,7 @@
         call_admin_at(self.process.admin.address, method, path)
     }
 
-    fn metrics(&self) -> Value {
+    pub(crate) fn metrics(&self) -> Value {
         let answer = self.call_admin("GET", "/v1/metrics").unwrap();
         let (head, body) = answer.split_once("\r\n\r\n").unwrap();
         assert!(head.contains(&format!("Content-Length: {}", body.len())), "{answer}");
--- a/crates/node/tests/sockets/drawn_orders.rs
+++ b/crates/node/tests/sockets/drawn_orders.rs
@@ -3,7 +3,6 @@
 //! Judged from outside: while the node is in service its clients stay and `PING` hears `PONG`; 4 s after an order to drain
 //! no process of it holds a client; and no connection ends without `MOVE`.
 
-use std::net::TcpListener;
 use std::ops::Range;
 use std::time::{Duration, Instant};
 
@@ -13,7 +12,7 @@
 
 use crate::PATIENCE;
 use crate::admin::{call_admin_at, has_status};
-use crate::connection::Connection;
+use crate::peers::serve_host;
 use crate::world::World;
 
 /// Operators check a drained node after so long.
@@ -214,28 +213,6 @@
     }
 }
 
-/// Answers probes and takes calls, whose lines it sends back. Ends with the test's process.
-fn serve_host(listener: &TcpListener) {
-    for stream in listener.incoming() {
-        let mut connection = Connection::new(stream.unwrap());
-        // It waits for clients that say nothing.
-        connection.stream().set_read_timeout(None).unwrap();
-        std::thread::spawn(move || {
-            loop {
-                let line = connection.receive();
-                let words: Vec<&str> = line.split(' ').collect();
-                let answer = match words[..] {
-                    ["end" | "reset"] => return,
-                    ["PING"] => "PONG".to_owned(),
-                    ["OPEN", id, ..] => format!("UP {}", id.trim_start_matches('0')),
-                    _ => line,
-                };
-                connection.send_until_closed(format!("{answer}\r\n").as_bytes());
-            }
-        });
-    }
-}
-
 /// Seeds from and to, in place of those of the ordinary run: `DRAWN_SEEDS=100..200`.
 const SEEDS_VARIABLE: &str = "DRAWN_SEEDS";
 
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -6,6 +6,8 @@
 mod discovery;
 mod drawn_orders;
 mod front;
+mod log_collector;
+mod logging;
 mod node_config;
 mod peers;
 mod processes;
--- a/crates/node/tests/sockets/peers.rs
+++ b/crates/node/tests/sockets/peers.rs
@@ -1,7 +1,7 @@
 //! Steps of the front, of clients and of hosts.
 
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use rustix::net;
@@ -217,3 +217,25 @@
         None => fields.any(|field| field == expected),
     }
 }
+
+/// Answers probes and takes calls, whose lines it sends back. Ends with the test's process.
+pub(crate) fn serve_host(listener: &TcpListener) {
+    for stream in listener.incoming() {
+        let mut connection = Connection::new(stream.unwrap());
+        // It waits for clients that say nothing.
+        connection.stream().set_read_timeout(None).unwrap();
+        std::thread::spawn(move || {
+            loop {
+                let line = connection.receive();
+                let words: Vec<&str> = line.split(' ').collect();
+                let answer = match words[..] {
+                    ["end" | "reset"] => return,
+                    ["PING"] => "PONG".to_owned(),
+                    ["OPEN", id, ..] => format!("UP {}", id.trim_start_matches('0')),
+                    _ => line,
+                };
+                connection.send_until_closed(format!("{answer}\r\n").as_bytes());
+            }
+        });
+    }
+}
--- a/crates/node/tests/sockets/processes.rs
+++ b/crates/node/tests/sockets/processes.rs
@@ -10,12 +10,13 @@
 use crate::connection::ReservedAddress;
 use crate::discovery::{Discovery, Entry, Registry};
 use crate::front::SteadyFront;
+use crate::log_collector::LogSetup;
 use crate::world::{NodeProcess, World};
 
 /// A process that is told to end has exited by now: the longest deadline of the scenarios' settings (1.5 s),
 /// what the node adds to that (0.4 s) and the time to send its last answers (0.15 s), with room for a busy
 /// machine.
-const EXIT_LIMIT: Duration = Duration::from_millis(2_500);
+pub(crate) const EXIT_LIMIT: Duration = Duration::from_millis(2_500);
 
 impl World {
     pub(crate) fn play_process(&mut self, words: &[&str]) {
@@ -57,7 +58,8 @@
     fn start_successor(&mut self) {
         let admin = ReservedAddress::new();
         let discovery = self.config["discovery"].as_str().unwrap().parse().unwrap();
-        let successor = NodeProcess::start(&self.config_path, discovery, &self.folder, admin);
+        let successor =
+            NodeProcess::start(&self.config_path, discovery, &self.folder, admin, LogSetup::default());
         self.predecessors.push(std::mem::replace(&mut self.process, successor));
         self.restart_timer();
     }
@@ -92,7 +94,7 @@
         }
     }
 
-    fn await_exit(&mut self) -> ExitStatus {
+    pub(crate) fn await_exit(&mut self) -> ExitStatus {
         let deadline = Instant::now() + PATIENCE;
         loop {
             if let Some(status) = self.process.child.try_wait().unwrap() {
--- a/crates/node/tests/sockets/world.rs
+++ b/crates/node/tests/sockets/world.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -14,6 +14,7 @@
 use crate::connection::{Connection, ReservedAddress};
 use crate::discovery::{AnswerFault, Discovery, Entry, Registry};
 use crate::front::SteadyFront;
+use crate::log_collector::{LogCollector, LogSetup};
 use crate::node_config::{NodeAddresses, NodeOptions, node_config};
 
 static RUNS: AtomicU32 = AtomicU32::new(0);
@@ -30,6 +31,7 @@
         discovery: SocketAddr,
         folder: &Path,
         admin: ReservedAddress,
+        log: LogSetup,
     ) -> NodeProcess {
         let mut command = Command::new(env!("CARGO_BIN_EXE_glendeck-node"));
         for key in ["ROUTER_NAME", "ROUTER_LISTEN", "GLENDECK_LOG"] {
@@ -39,7 +41,10 @@
         command.env("ROUTER_DISCOVERY", discovery.to_string());
         command.env("TMPDIR", folder);
         command.env("ROUTER_ADMIN", admin.address.to_string());
-        let child = command.stderr(Stdio::null()).spawn().unwrap();
+        if let Some(level) = log.level {
+            command.env("GLENDECK_LOG", level);
+        }
+        let child = command.stderr(log.output).spawn().unwrap();
         NodeProcess { child, admin }
     }
 
@@ -72,6 +77,8 @@
 
 pub(crate) struct World {
     pub process: NodeProcess,
+    /// Collects the log of the first process, if the scenario has one for it.
+    pub collector: Option<LogCollector>,
     /// Processes of the same node before this one, the oldest first.
     pub predecessors: Vec<NodeProcess>,
     pub folder: PathBuf,
@@ -127,8 +134,10 @@
         std::fs::write(&config_path, config.to_string()).unwrap();
         let folder = config_path.with_extension("tmp");
         std::fs::create_dir_all(&folder).unwrap();
-        let process = NodeProcess::start(&config_path, discovery.address, &folder, admin);
+        let log = LogSetup::from_options(&options);
+        let mut process = NodeProcess::start(&config_path, discovery.address, &folder, admin, log);
         World {
+            collector: process.child.stderr.take().map(LogCollector::new),
             process,
             predecessors: vec![],
             folder,
