Number the changes of a node's drain, so that contrary orders leave its processes alike

Before the next process serves, both processes take orders. A drain at one and a drain with its end at the other, given before either has told the other, leave one drained and one in service: for good, until the next order. Its clients at the other are then held beyond 4 s, or moved for nothing. Cause: each process took what the other reported as the later order. Change: each change has a number, which the state of the handover carries on. A process follows a report with a larger number only. As each change flips the state, the same number means the same state, so no tie is left. The tests of the recorded lines and keys have the numbers, and are as strict.

--- a/crates/node/src/handover/message.rs
+++ b/crates/node/src/handover/message.rs
@@ -48,18 +48,32 @@
 pub(crate) enum DrainChange {
     /// The node drains.
     Started {
+        /// The number of the change.
+        number: u32,
         /// Time since the start of the drain.
         elapsed: Span,
     },
     /// The node is in service again.
-    Ended,
+    Ended {
+        /// The number of the change.
+        number: u32,
+    },
+}
+
+impl DrainChange {
+    /// The number of the change. Of two changes the one with the larger number is the later one.
+    pub(crate) fn number(self) -> u32 {
+        match self {
+            DrainChange::Started { number, .. } | DrainChange::Ended { number } => number,
+        }
+    }
 }
 
 impl Display for DrainChange {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         match self {
-            DrainChange::Started { elapsed } => write!(formatter, "DRAINING {}", elapsed.0),
-            DrainChange::Ended => formatter.write_str("ACTIVE"),
+            DrainChange::Started { number, elapsed } => write!(formatter, "DRAINING {number} {}", elapsed.0),
+            DrainChange::Ended { number } => write!(formatter, "ACTIVE {number}"),
         }
     }
 }
@@ -70,8 +84,10 @@
     fn from_str(line: &str) -> Result<DrainChange, MessageError> {
         let words: Vec<&str> = line.split_whitespace().collect();
         match words[..] {
-            ["DRAINING", elapsed] => Ok(DrainChange::Started { elapsed: Span(elapsed.parse()?) }),
-            ["ACTIVE"] => Ok(DrainChange::Ended),
+            ["DRAINING", number, elapsed] => {
+                Ok(DrainChange::Started { number: number.parse()?, elapsed: Span(elapsed.parse()?) })
+            }
+            ["ACTIVE", number] => Ok(DrainChange::Ended { number: number.parse()? }),
             _ => Err(MessageError::Unknown),
         }
     }
--- a/crates/node/src/handover/state.rs
+++ b/crates/node/src/handover/state.rs
@@ -22,8 +22,9 @@
     pub node: NodeSnapshot,
     /// Time since the start of the node's drain; `None` if it is in service.
     pub drain_elapsed: Option<Span>,
-    /// The process follows changes of the drain that its successor reports.
-    pub follows_drain: bool,
+    /// The number of the drain's last change. `None` if the process is of an early version, which does not follow
+    /// changes that its successor reports.
+    pub drain_number: Option<u32>,
     /// Names of the zones, indexed by their numbers in `list`. After the settings of a serving process have
     /// been reloaded, their order can differ from that in its file.
     pub zones: Vec<String>,
@@ -83,10 +84,10 @@
     /// counts as started now.
     #[serde(rename = "drain_ns", default, skip_serializing_if = "is_zero")]
     drain_elapsed_ns: u64,
-    drained: bool,
     /// Not sent by predecessors of an early version, which do not follow changes of the drain.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    follows_drain: bool,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    drain_number: Option<u32>,
+    drained: bool,
     #[serde(rename = "held")]
     connections_per_size: f64,
     hosts: Vec<HostMessage>,
@@ -177,8 +178,8 @@
         StateMessage {
             new_client_rate: node.new_client_rate,
             drain_elapsed_ns: state.drain_elapsed.map_or(0, |elapsed| elapsed.0),
+            drain_number: state.drain_number,
             drained: state.drain_elapsed.is_some(),
-            follows_drain: state.follows_drain,
             connections_per_size: node.connections_per_size,
             hosts: node.hosts.iter().map(HostMessage::from).collect(),
             index: state.list.index,
@@ -227,7 +228,7 @@
             list,
             node,
             drain_elapsed: self.drained.then_some(Span(self.drain_elapsed_ns)),
-            follows_drain: self.follows_drain,
+            drain_number: self.drain_number,
             zones: self.zones.unwrap_or_default(),
             classes: self.classes.unwrap_or_default(),
         })
--- a/crates/node/src/handover/successor.rs
+++ b/crates/node/src/handover/successor.rs
@@ -133,7 +133,7 @@
             node: self.snapshot()?,
             list: self.hosts.to_update(self.list.index()?),
             drain_elapsed: self.drain_elapsed(),
-            follows_drain: true,
+            drain_number: Some(self.drain_number()),
             zones: self.config.zones.clone(),
             classes: self.config.names.traffic.clone(),
         })
--- a/crates/node/src/handover/tests.rs
+++ b/crates/node/src/handover/tests.rs
@@ -57,7 +57,7 @@
         list,
         node,
         drain_elapsed: Some(Span::ZERO),
-        follows_drain: false,
+        drain_number: None,
         zones: names(["x", "y"]),
         classes: names(["chat", "pay"]),
     }
@@ -94,7 +94,7 @@
     assert_eq!(state.encode().unwrap(), STATE.trim_end());
     let read = HandoverState::decode(STATE.trim_end().as_bytes(), &state.zones, &state.classes).unwrap();
     assert_eq!((read.node, read.drain_elapsed), (state.node, state.drain_elapsed));
-    assert!(!read.follows_drain);
+    assert_eq!(read.drain_number, None);
     assert_eq!((read.list.index, read.list.endpoints), (state.list.index, state.list.endpoints));
     assert_eq!(read.list.addresses, state.list.addresses);
     assert_eq!((read.zones, read.classes), (state.zones, state.classes));
@@ -104,16 +104,16 @@
 #[test]
 fn state_tells_when_the_drain_started() {
     let state =
-        HandoverState { drain_elapsed: Some(Span::ms(1_500)), follows_drain: true, ..recorded_state() };
-    let drained = r#""drain_ns":1500000000,"drained":true,"follows_drain":true"#;
+        HandoverState { drain_elapsed: Some(Span::ms(1_500)), drain_number: Some(3), ..recorded_state() };
+    let drained = r#""drain_ns":1500000000,"drain_number":3,"drained":true"#;
     let recorded = STATE.trim_end().replace(r#""drained":true"#, drained);
     assert_eq!(state.encode().unwrap(), recorded);
     let read = HandoverState::decode(recorded.as_bytes(), &[], &[]).unwrap();
-    assert_eq!((read.drain_elapsed, read.follows_drain), (Some(Span::ms(1_500)), true));
+    assert_eq!((read.drain_elapsed, read.drain_number), (Some(Span::ms(1_500)), Some(3)));
     let in_service = HandoverState { drain_elapsed: None, ..state }.encode().unwrap();
-    assert_eq!(in_service, recorded.replace(drained, r#""drained":false,"follows_drain":true"#));
+    assert_eq!(in_service, recorded.replace(drained, r#""drain_number":3,"drained":false"#));
     let read = HandoverState::decode(in_service.as_bytes(), &[], &[]).unwrap();
-    assert_eq!((read.drain_elapsed, read.follows_drain), (None, true));
+    assert_eq!((read.drain_elapsed, read.drain_number), (None, Some(3)));
 }
 
 fn recorded_call(has_optional_parts: bool) -> CallHandover {
@@ -166,8 +166,8 @@
 #[test]
 fn changes_of_the_drain_are_written_and_read_as_recorded() {
     let changes = [
-        (DrainChange::Started { elapsed: Span::ms(1_500) }, "DRAINING 1500000000"),
-        (DrainChange::Ended, "ACTIVE"),
+        (DrainChange::Started { number: 3, elapsed: Span::ms(1_500) }, "DRAINING 3 1500000000"),
+        (DrainChange::Ended { number: 4 }, "ACTIVE 4"),
     ];
     for (change, line) in changes {
         let (of_successor, of_predecessor) =
@@ -179,7 +179,16 @@
         assert_eq!(line.parse::<SuccessorMessage>().unwrap(), of_successor);
         assert_eq!(line.parse::<PredecessorMessage>().unwrap(), of_predecessor);
     }
-    for line in ["DRAINING", "DRAINING x", "DRAINING 1 2", "ACTIVE 1"] {
+    for line in [
+        "DRAINING",
+        "DRAINING 1",
+        "DRAINING x 2",
+        "DRAINING 1 x",
+        "DRAINING 1 2 3",
+        "ACTIVE",
+        "ACTIVE x",
+        "ACTIVE 1 2",
+    ] {
         assert!(line.parse::<SuccessorMessage>().is_err(), "{line}");
     }
 }
--- a/crates/node/src/service/drain.rs
+++ b/crates/node/src/service/drain.rs
@@ -2,6 +2,10 @@
 //!
 //! A drain is a state of the node and not of one process. While a process replaces another, both follow it:
 //! the process that is ordered to drain, or to serve again, tells the other ones (see [`crate::handover`]).
+//! Changes are numbered, so that orders to two of them at the same time leave all with the same state.
+
+#[cfg(test)]
+mod tests;
 
 use glendeck::domain::{AttemptOutcome, CallId, Span, Time};
 use tracing::info;
@@ -26,14 +30,49 @@
 const DRAIN_TIME: Span = Span::ms(3_600);
 
 /// Whether operators, or the fleet, have taken the node out of service.
-#[derive(Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct DrainState {
     /// When the drain started; `None` if the node is in service.
     since: Option<Time>,
-    /// The number of the current or last drain.
+    /// How often the state has changed since the node's first process started. So it is odd during a drain,
+    /// and two processes that give the same number to a change have the same state.
     number: u32,
 }
 
+impl DrainState {
+    /// Changes the state on an order to this process. Returns whether it has changed.
+    fn order(&mut self, since: Option<Time>) -> bool {
+        let has_changed = self.since.is_some() != since.is_some();
+        if has_changed {
+            *self = DrainState { since, number: self.number + 1 };
+        }
+        has_changed
+    }
+
+    /// Follows a change that another process reports, unless a later one is known. Returns whether the state
+    /// has changed.
+    fn follow(&mut self, change: DrainChange, now: Time) -> bool {
+        let is_later = change.number() > self.number;
+        if is_later {
+            let since = match change {
+                DrainChange::Started { elapsed, .. } => Some(now - elapsed),
+                DrainChange::Ended { .. } => None,
+            };
+            *self = DrainState { since, number: change.number() };
+        }
+        is_later
+    }
+
+    /// The last change, as it is reported to other processes.
+    fn last_change(&self, now: Time) -> DrainChange {
+        let number = self.number;
+        match self.since {
+            Some(since) => DrainChange::Started { number, elapsed: now.since(since) },
+            None => DrainChange::Ended { number },
+        }
+    }
+}
+
 impl Service {
     /// Starts a drain on an order to this process, and returns whether the node drains or leaves. A repeated
     /// order does not restart the drain. A process that is replaced leaves orders to its successor.
@@ -41,7 +80,9 @@
         if self.handover.is_replaced() {
             return false;
         }
-        self.start_drain(self.now, None);
+        if self.drain.order(Some(self.now)) {
+            self.drain_changed(None);
+        }
         true
     }
 
@@ -52,26 +93,35 @@
         if is_leaving || self.handover.is_replaced() {
             return false;
         }
-        self.stop_drain(None);
+        if self.drain.order(None) {
+            self.drain_changed(None);
+        }
         true
     }
 
     /// Follows a change that another process of this node reports.
     pub(crate) fn follow_drain_change(&mut self, change: DrainChange, sender: ConnectionId) {
-        match change {
-            DrainChange::Started { elapsed } => self.start_drain(self.now - elapsed, Some(sender)),
-            DrainChange::Ended => self.stop_drain(Some(sender)),
+        if self.drain.follow(change, self.now) {
+            self.drain_changed(Some(sender));
         }
     }
 
-    /// Continues the drain that the predecessor has started, if there is one.
-    pub(super) fn inherit_drain(&mut self, elapsed: Option<Span>) {
+    /// Continues the drain that the predecessor has started, if there is one. A predecessor of an early version
+    /// does not number its changes.
+    pub(super) fn inherit_drain(&mut self, elapsed: Option<Span>, number: Option<u32>) {
+        self.drain.number = number.unwrap_or(u32::from(elapsed.is_some()));
         if let Some(elapsed) = elapsed {
             info!("continuing the predecessor's drain");
-            self.start_drain(self.now - elapsed, None);
+            self.drain.since = Some(self.now - elapsed);
+            self.drain_changed(None);
         }
     }
 
+    /// The number of the drain's last change.
+    pub(crate) fn drain_number(&self) -> u32 {
+        self.drain.number
+    }
+
     /// Whether the node is draining or has drained.
     pub(crate) fn is_draining(&self) -> bool {
         self.drain.since.is_some()
@@ -89,29 +139,25 @@
         is_time_over && !is_leaving && self.calls.is_empty() && !self.predecessor_holds_connections()
     }
 
-    /// Starts a drain at `since`, which may have passed, and tells the node's other processes except the
-    /// `sender`. Does nothing while a drain is active.
-    fn start_drain(&mut self, since: Time, sender: Option<ConnectionId>) {
-        if self.is_draining() {
-            return;
+    /// Acts on a change of the drain, and tells the node's other processes except the `sender`.
+    fn drain_changed(&mut self, sender: Option<ConnectionId>) {
+        self.report_drain_change(self.drain.last_change(self.now), sender);
+        match self.drain.since {
+            Some(since) => self.schedule_drain(since),
+            None => self.return_to_service(),
         }
+    }
+
+    /// Sets the times of a drain that started at `since`, which may have passed.
+    fn schedule_drain(&mut self, since: Time) {
         info!(calls = self.calls.len(), "draining");
-        self.drain.since = Some(since);
-        self.drain.number += 1;
         let number = self.drain.number;
         self.timers.set(since + NEW_CLIENTS_AFTER_DRAIN, TimerEvent::DrainStart(number));
         self.timers.set(since + DRAIN_TIME, TimerEvent::DrainEnd(number));
-        self.report_drain_change(DrainChange::Started { elapsed: self.now.since(since) }, sender);
     }
 
-    /// Ends the drain, and tells the node's other processes except the `sender`. Does nothing if no drain is
-    /// active.
-    fn stop_drain(&mut self, sender: Option<ConnectionId>) {
-        if self.drain.since.take().is_none() {
-            return;
-        }
+    fn return_to_service(&mut self) {
         info!(calls = self.calls.len(), "drain ended, active again");
-        self.report_drain_change(DrainChange::Ended, sender);
         if self.phase == Phase::Serving {
             // The hosts may have gone since the drain started.
             self.phase = Phase::Starting;
@@ -159,8 +205,8 @@
         self.timers.set(due, TimerEvent::DrainMigrate(self.drain.number, call));
     }
 
-    /// When the drain with this number started, if it is active. Timers of an earlier drain may still expire
-    /// after its end, also during the next one.
+    /// When the drain that began with the change of this number started, if it is active. Timers of an earlier
+    /// drain may still expire after its end, also during the next one.
     fn current_drain(&self, number: u32) -> Option<Time> {
         self.drain.since.filter(|_| self.drain.number == number)
     }
--- a/crates/node/src/service/start.rs
+++ b/crates/node/src/service/start.rs
@@ -58,8 +58,8 @@
     snapshot: NodeSnapshot,
     /// Time since the start of the predecessor's drain; `None` if it is in service.
     drain_elapsed: Option<Span>,
-    /// The predecessor follows changes of the drain that this process reports.
-    follows_drain: bool,
+    /// The number of the drain's last change, if the predecessor follows those that this process reports.
+    drain_number: Option<u32>,
 }
 
 impl Service {
@@ -141,9 +141,9 @@
         if let Some(list) = known.list {
             self.apply_cached_list(list);
         }
-        if let Some(PredecessorState { snapshot, drain_elapsed, follows_drain }) = known.node {
-            self.handover.predecessor_follows_drain = follows_drain;
-            self.inherit_drain(drain_elapsed);
+        if let Some(PredecessorState { snapshot, drain_elapsed, drain_number }) = known.node {
+            self.handover.predecessor_follows_drain = drain_number.is_some();
+            self.inherit_drain(drain_elapsed, drain_number);
             self.with_node(|node, _| node.restore(&snapshot));
         }
     }
@@ -201,7 +201,7 @@
     let node = PredecessorState {
         snapshot: state.node,
         drain_elapsed: state.drain_elapsed,
-        follows_drain: state.follows_drain,
+        drain_number: state.drain_number,
     };
     InitialState { list: Some(list), node: Some(node) }
 }
