--- a/crates/node/src/takeover/mod.rs
+++ b/crates/node/src/takeover/mod.rs
@@ -157,13 +157,13 @@
         self.membership.as_mut()?.work.as_mut()
     }
 
-    /// Calls the takeover logic, and performs the actions that it returns.
     /// Reports the longest time that a client waits to the replicas' logic, after the settings have changed.
     pub(crate) fn renew_longest_call(&mut self) {
         let longest_ms = self.config.longest_deadline_ms();
         self.with_takeover(|takeover, now| takeover.longest_call_changed(now, longest_ms));
     }
 
+    /// Calls the takeover logic, and performs the actions that it returns.
     fn with_takeover(&mut self, call: impl FnOnce(&mut Takeover, Timestamp)) {
         let now = self.timestamp();
         let Some(work) = self.work() else { return };
