Tell replicas what was sent when a call ends, not what some ways out have marked

Cause: the outcome that replicas are told came from a mark that is set when an attempt ends or comes up. A call that ended while its attempt was out had none, and was reported as never run. Evidence: on the code before, the look-up of the repeat finds no record right after the exit; the record was there before. Change: one function reports, for every way out of a call. It asks whether an earlier attempt may have run, the call is open, or the kernel has taken any byte of the line of the attempt that is out. Broken and late attempts are told apart from those that never ran by the same rule: a line that was sent in part may have run; it had to be whole. Tests: scenario ended_in_flight (with a step end for the harness; fails before: done twice), and a table of what was sent.

--- a/crates/harness/tests/processes/faults.rs
+++ b/crates/harness/tests/processes/faults.rs
@@ -23,6 +23,7 @@
                 self.cluster.start_successor(at).unwrap();
                 until(&format!("{unit} replaced"), PATIENCE, || self.cluster.is_predecessor_replaced(at));
             }
+            ["end", unit] => self.cluster.signal(self.node(unit), Signal::TERM),
             ["ended", unit] => self.cluster.end_predecessor(self.node(unit)).unwrap(),
             ["start", unit] => self.cluster.start_node(self.node(unit)).unwrap(),
             ["stop", unit] => {
--- a/crates/harness/tests/processes/main.rs
+++ b/crates/harness/tests/processes/main.rs
@@ -99,8 +99,8 @@
                 self.play_links(words);
             }
             [
-                "kill" | "next" | "ended" | "start" | "stop" | "continue" | "copy" | "older" | "nofolder"
-                | "torn" | "flip" | "disk" | "clock",
+                "kill" | "end" | "next" | "ended" | "start" | "stop" | "continue" | "copy" | "older"
+                | "nofolder" | "torn" | "flip" | "disk" | "clock",
                 ..,
             ] => self.play_faults(words),
             ["keeping" | "notkeeping" | "chair" | "seats" | "doubled" | "unconfirmed", ..] => {
@@ -167,6 +167,7 @@
 #[test_case("garbled"; "links that turn bits over")]
 #[test_case("links"; "links that are slow, one-way, stalled, flapping or resetting")]
 #[test_case("replaced"; "a node that its fleet drained takes clients again after its process was replaced")]
+#[test_case("ended_in_flight"; "a call that is out as its node exits is not run twice")]
 #[test_case("longer_guard"; "replicas keep the intents of calls that a reload gave more time")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -1,5 +1,8 @@
 //! Calls in flight and their attempts.
 
+#[cfg(test)]
+mod tests;
+
 use glendeck::domain::{AttemptNumber, AttemptOutcome, Call, CallId, HostId, Time};
 use rustc_hash::FxHashSet;
 
@@ -33,6 +36,35 @@
     }
 }
 
+/// How much of the client's line an attempt has given to the kernel for its host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LineProgress {
+    /// Nothing: the host cannot have run the call.
+    Unsent,
+    /// A part of it.
+    Partial,
+    /// All of it.
+    Whole,
+}
+
+impl LineProgress {
+    /// The progress of a line on a connection on which nothing else was sent. `line_length` is `None` before the
+    /// line is queued.
+    pub(crate) fn new(bytes_sent: u64, line_length: Option<usize>) -> LineProgress {
+        match line_length {
+            Some(length) if bytes_sent >= length as u64 => LineProgress::Whole,
+            Some(_) if bytes_sent > 0 => LineProgress::Partial,
+            Some(_) | None => LineProgress::Unsent,
+        }
+    }
+
+    /// Whether the host may have run the call. It takes a whole line, but what the kernel has taken of it is out
+    /// of this process's hands, so a part counts too.
+    pub(crate) fn may_have_run(self) -> bool {
+        self != LineProgress::Unsent
+    }
+}
+
 /// An attempt of a call at one host, or its open connection there.
 pub(crate) struct Attempt {
     /// Number of the attempt within the call.
@@ -47,9 +79,9 @@
     pub deadline: Time,
     /// The client's line may be sent: the intent is replicated, or does not have to be.
     pub may_send: bool,
-    /// The client's line has been put into the outbox of the host's socket.
-    pub is_line_queued: bool,
-    /// The last byte of the line has been sent.
+    /// Length of the client's line with its end, once it has been put into the outbox of the host's socket.
+    pub line_length: Option<usize>,
+    /// The last byte of the line has been sent, and the attempt is counted.
     pub is_line_sent: bool,
 }
 
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -31,6 +31,8 @@
     /// Bytes to send; the first `sent` of them have been sent.
     pub outbox: Vec<u8>,
     sent: usize,
+    /// Number of bytes that the kernel has taken, since the start of the connection.
+    pub bytes_sent: u64,
     /// The TCP connection is not established yet.
     pub connecting: bool,
     /// Reading is suspended because the outbox that receives these bytes is over its high-water mark.
@@ -101,6 +103,7 @@
             inbox: Vec::new(),
             outbox: Vec::new(),
             sent: 0,
+            bytes_sent: 0,
             connecting,
             paused: false,
             read_ended: false,
@@ -218,7 +221,10 @@
         }
         while self.sent < self.outbox.len() {
             match net::send(&self.fd, &self.outbox[self.sent..], SendFlags::NOSIGNAL) {
-                Ok(count) => self.sent += count,
+                Ok(count) => {
+                    self.sent += count;
+                    self.bytes_sent += count as u64;
+                }
                 Err(Errno::INTR) => {}
                 Err(Errno::AGAIN) => break,
                 Err(error) => return Err(error),
--- a/crates/node/src/handover/predecessor.rs
+++ b/crates/node/src/handover/predecessor.rs
@@ -171,7 +171,7 @@
             opened_at: self.now,
             deadline: self.now,
             may_send: true,
-            is_line_queued: true,
+            line_length: None,
             is_line_sent: true,
         });
         in_flight.awaiting_host_since = awaiting_host_since;
--- a/crates/node/src/hosts/attempts.rs
+++ b/crates/node/src/hosts/attempts.rs
@@ -4,11 +4,11 @@
 use rustix::io::Errno;
 use tracing::debug;
 
-use crate::call::{Attempt, AttemptEnd, CallStage, InFlightCall};
+use crate::call::{Attempt, AttemptEnd, CallStage, InFlightCall, LineProgress};
 use crate::connection::Connection;
 use crate::protocol::Answer;
 use crate::service::Service;
-use crate::socket::{ConnectionId, SocketEntry, SocketRole};
+use crate::socket::{ConnectionId, SocketRole};
 use crate::timers::TimerEvent;
 
 /// Delay before a returning call is tried again at its previous host, if the host could not be reached.
@@ -40,7 +40,7 @@
                 opened_at: self.now,
                 deadline,
                 may_send: in_flight.replicated.is_none(),
-                is_line_queued: false,
+                line_length: None,
                 is_line_sent: false,
             });
         }
@@ -70,7 +70,7 @@
         if let Some(attempt) = &mut in_flight.attempt
             && !socket.connection.connecting
             && attempt.may_send
-            && !attempt.is_line_queued
+            && attempt.line_length.is_none()
         {
             // If the connection is established late or the intent is replicated late, the host may have
             // started to drain, and must not get a new call. A returning call may still go there: its
@@ -90,27 +90,38 @@
         let Some(socket) = self.sockets.get_mut(id.0) else { return };
         let Some(in_flight) = self.calls.get_mut(call.0) else { return };
         let Some(attempt) = &mut in_flight.attempt else { return };
-        attempt.is_line_queued = true;
         let time_left = attempt.deadline.since(self.now);
-        in_flight.line.encode(time_left, &mut socket.connection.outbox);
+        let outbox = &mut socket.connection.outbox;
+        let length_before = outbox.len();
+        in_flight.line.encode(time_left, outbox);
+        attempt.line_length = Some(outbox.len() - length_before);
     }
 
-    /// Notes that the last byte of the line has been sent. Before that the host cannot have run the call;
-    /// after that it may have.
+    /// Counts the attempt once the last byte of its line has been sent.
     pub(crate) fn note_line_sent(&mut self, call: CallId) {
-        let in_flight = self.calls.get_mut(call.0);
-        let Some(attempt) = in_flight.and_then(|in_flight| in_flight.attempt.as_mut()) else { return };
-        let has_sent_all =
-            |socket: &SocketEntry| socket.connection.unsent() == 0 && !socket.connection.broken;
-        if attempt.is_line_queued
-            && !attempt.is_line_sent
-            && self.sockets.get(attempt.connection.0).is_some_and(has_sent_all)
-        {
+        let in_flight = self.calls.get(call.0);
+        let Some(attempt) = in_flight.and_then(|in_flight| in_flight.attempt.as_ref()) else { return };
+        if attempt.is_line_sent || self.line_progress(attempt) != LineProgress::Whole {
+            return;
+        }
+        if let Some(attempt) = self.calls.get_mut(call.0).and_then(|in_flight| in_flight.attempt.as_mut()) {
             attempt.is_line_sent = true;
             self.metrics.attempts += 1;
         }
     }
 
+    /// Whether a host may be running the call, by what was sent of the attempt in progress.
+    pub(crate) fn may_be_running(&self, in_flight: &InFlightCall) -> bool {
+        let attempt = in_flight.attempt.as_ref();
+        attempt.is_some_and(|attempt| self.line_progress(attempt).may_have_run())
+    }
+
+    fn line_progress(&self, attempt: &Attempt) -> LineProgress {
+        let socket = self.sockets.get(attempt.connection.0);
+        let bytes_sent = socket.map_or(0, |socket| socket.connection.bytes_sent);
+        LineProgress::new(bytes_sent, attempt.line_length)
+    }
+
     /// Ends an attempt whose connection is not established within the limit for connecting.
     pub(crate) fn connect_timeout(&mut self, id: CallId, number: AttemptNumber) {
         let Some(attempt) = self.unanswered_attempt(id, number) else { return };
@@ -141,20 +152,19 @@
     }
 
     fn end_timed_out_attempt(&mut self, id: CallId) {
-        let Some(attempt) = self.calls.get(id.0).and_then(|in_flight| in_flight.attempt.as_ref()) else {
-            return;
-        };
-        let outcome =
-            if attempt.is_line_sent { AttemptOutcome::TimedOut } else { AttemptOutcome::Unreachable };
+        let Some(in_flight) = self.calls.get(id.0) else { return };
+        let may_have_run = self.may_be_running(in_flight);
+        let outcome = if may_have_run { AttemptOutcome::TimedOut } else { AttemptOutcome::Unreachable };
         self.end_attempt(id, outcome, None);
     }
 
     /// Ends the attempt of a call that is not open; `answer` is the host's line for the client, if that line
     /// is a final answer.
     pub(crate) fn end_attempt(&mut self, id: CallId, outcome: AttemptOutcome, answer: Option<&[u8]>) {
+        let Some(in_flight) = self.calls.get(id.0) else { return };
+        let may_have_run = self.may_be_running(in_flight) && !outcome.never_ran();
         let Some(in_flight) = self.calls.get_mut(id.0) else { return };
         let Some(attempt) = in_flight.attempt.take() else { return };
-        let may_have_run = attempt.is_line_queued && !outcome.never_ran();
         if let Some(replicated) = in_flight.replicated.as_mut().filter(|_| may_have_run) {
             replicated.ran.get_or_insert((attempt.host, attempt.opened_at));
         }
--- a/crates/node/src/hosts/messages.rs
+++ b/crates/node/src/hosts/messages.rs
@@ -37,12 +37,14 @@
     /// Handles a connection to a host that failed, or could not be established.
     pub(crate) fn host_lost(&mut self, call: CallId) {
         let Some(in_flight) = self.calls.get(call.0) else { return };
-        let Some(attempt) = &in_flight.attempt else { return };
+        if in_flight.attempt.is_none() {
+            return;
+        }
         if in_flight.stage.is_established() {
             self.host_ended(call, true);
         } else {
-            let outcome =
-                if attempt.is_line_sent { AttemptOutcome::Broken } else { AttemptOutcome::Unreachable };
+            let may_have_run = self.may_be_running(in_flight);
+            let outcome = if may_have_run { AttemptOutcome::Broken } else { AttemptOutcome::Unreachable };
             self.end_attempt(call, outcome, None);
         }
         self.deliver_reports();
@@ -97,18 +99,15 @@
     /// Handles the host's `UP`: from now on, lines are relayed between client and host.
     fn establish_call(&mut self, id: ConnectionId, call: CallId, line: &[u8]) {
         let Some(in_flight) = self.calls.get_mut(call.0) else { return };
-        let (Some(client), Some(attempt)) = (in_flight.client, &in_flight.attempt) else {
+        let Some(client) = in_flight.client.filter(|_| in_flight.attempt.is_some()) else {
             // The client has gone, and the attempt could not be canceled in time.
             return self.end_attempt(call, AttemptOutcome::Canceled, None);
         };
         let is_returning = in_flight.stage == CallStage::Returning;
         in_flight.stage = CallStage::Open;
-        if let Some(mut replicated) = in_flight.replicated.take() {
-            // The call runs at this host. The client is told so now; if it repeats the call nevertheless, it
-            // has not received the answer.
-            replicated.ran.get_or_insert((attempt.host, attempt.opened_at));
-            self.replicated_call_ended(call, Some(&replicated));
-        }
+        // The call runs at this host. The client is told so now; if it repeats the call nevertheless, it has
+        // not received the answer.
+        self.end_replicated_call(call);
         let Some(in_flight) = self.calls.get(call.0) else { return };
         let Some(attempt) = &in_flight.attempt else { return };
         let number = attempt.number;
--- a/crates/node/src/service/sockets.rs
+++ b/crates/node/src/service/sockets.rs
@@ -202,8 +202,8 @@
     /// Removes a call. A call that never opened is counted in the metrics here; an open one was counted when
     /// it opened.
     pub(crate) fn forget_call(&mut self, id: CallId) -> Option<InFlightCall> {
+        self.end_replicated_call(id);
         let in_flight = self.calls.remove(id.0)?;
-        self.replicated_call_ended(id, in_flight.replicated.as_ref());
         if !in_flight.stage.is_established() {
             let outcome = in_flight.outcome.unwrap_or(Outcome::Failure);
             self.metrics.count(in_flight.call.class, outcome);
--- a/crates/node/src/takeover/calls.rs
+++ b/crates/node/src/takeover/calls.rs
@@ -102,10 +102,17 @@
         }
     }
 
-    /// Reports that a call has ended in this process, or has its answer.
-    pub(crate) fn replicated_call_ended(&mut self, call: CallId, replicated: Option<&ReplicatedCall>) {
-        let Some(replicated) = replicated else { return };
-        let outcome = if replicated.ran.is_some() { Outcome::Answered } else { Outcome::NeverRan };
+    /// Reports that a call has ended in this process, or has its answer. Every way out of a call ends here,
+    /// and the outcome comes from what was sent: of earlier attempts, and of one that is still out.
+    pub(crate) fn end_replicated_call(&mut self, call: CallId) {
+        let Some(in_flight) = self.calls.get(call.0) else { return };
+        let Some(replicated) = in_flight.replicated else { return };
+        let has_run = replicated.ran.is_some() || in_flight.stage.is_established();
+        let may_have_run = has_run || self.may_be_running(in_flight);
+        let outcome = if may_have_run { Outcome::Answered } else { Outcome::NeverRan };
+        if let Some(in_flight) = self.calls.get_mut(call.0) {
+            in_flight.replicated = None;
+        }
         self.with_takeover(|takeover, now| takeover.call_ended(now, call.0, outcome));
     }
 
