Take over at a reload whether clients mark repeats, and name every field of the file

The log says that the configuration was reloaded. Change: it is taken over. The structure is taken apart without `..`, so a new field does not compile until it is decided. Tests: a_changed_key_counts_after_a_reload, eleven keys there and back (that of this key fails before, the others pass), and a_key_that_counts_from_the_next_start_is_named_at_a_reload.

--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -157,16 +157,38 @@
         let old_names = self.names.clone();
         let old_zone_count = self.zones.len();
 
-        self.discovery = new.discovery;
-        self.descriptors = new.descriptors;
-        self.list_is_pushed = new.list_is_pushed;
-        self.connect_limit = new.connect_limit;
-        self.longest_deadline = new.longest_deadline;
-        let zone_numbers = merge_names(&mut self.zones, new.zones);
-        let class_numbers = merge_names(&mut self.names.traffic, new.names.traffic);
-        merge_names(&mut self.names.tenants, new.names.tenants);
-        self.names.groups = new.names.groups;
-        self.renew_settings(new.settings, &class_numbers, &zone_numbers);
+        // Every field is named, so that a new one does not compile until it is decided when it counts.
+        let NodeConfig {
+            name: _,
+            listen: _,
+            discovery,
+            admin: _,
+            // Drawn from since the start.
+            seed: _,
+            descriptors,
+            settings,
+            list_is_pushed,
+            names: Names { traffic, tenants, groups },
+            zones,
+            connect_limit,
+            longest_deadline,
+            // The node follows the endpoint list itself by now.
+            known: _,
+            fleet: _,
+            marks_repeats,
+            folder: _,
+        } = new;
+        self.discovery = discovery;
+        self.descriptors = descriptors;
+        self.list_is_pushed = list_is_pushed;
+        self.connect_limit = connect_limit;
+        self.longest_deadline = longest_deadline;
+        self.marks_repeats = marks_repeats;
+        let zone_numbers = merge_names(&mut self.zones, zones);
+        let class_numbers = merge_names(&mut self.names.traffic, traffic);
+        merge_names(&mut self.names.tenants, tenants);
+        self.names.groups = groups;
+        self.renew_settings(settings, &class_numbers, &zone_numbers);
 
         let has_new_zones = self.zones.len() != old_zone_count;
         let has_new_settings = self.settings != old_settings || self.names != old_names;
--- a/crates/node/src/config/tests.rs
+++ b/crates/node/src/config/tests.rs
@@ -1,5 +1,7 @@
 use test_case::test_case;
 
+use super::NodeConfig;
+
 const VALID_CONFIG: &str = r#"{"name":"n1","listen":"127.0.0.1:3000","discovery":"127.0.0.1:8500","seed":"0f",
     "limits":{"sockets":256},"known":null,"settings":{"caps":{"connectTimeoutMs":200.0,"maxLegs":3,
     "mayCancel":true,"mayProbe":false,"retryAfter":false},"dcs":["x"],"fleetSize":1,"me":0,"myZone":0,
@@ -58,3 +60,36 @@
     assert_eq!((config.names.traffic.len(), config.settings.classes.len(), config.zones.len()), (2, 2, 2));
     assert!(!config.renew(parse(VALID_CONFIG)).settings);
 }
+
+/// Each of these keys is changed, then put back. `clients.marksRetry` was left as it was at the start.
+#[test_case("127.0.0.1:8500", "127.0.0.1:8501", |config| config.discovery.to_string(); "discovery")]
+#[test_case("256", "300", |config| config.descriptors.to_string(); "descriptors")]
+#[test_case("\"pushed\",\"safety\":{", "\"on_request\",\"safety\":{\"askWithinMs\":10000.0,", |config| config.list_is_pushed.to_string(); "how the list is told")]
+#[test_case("\"tickMs\"", "\"clients\":{\"marksRetry\":true},\"tickMs\"", |config| config.marks_repeats.to_string(); "whether clients mark repeats")]
+#[test_case("200.0", "300.0", |config| format!("{:?}", config.connect_limit); "connect timeout raised")]
+#[test_case("200.0", "100.0", |config| format!("{:?}", config.connect_limit); "connect timeout lowered")]
+#[test_case("2000.0", "3000.0", |config| format!("{:?}", config.longest_deadline); "guard time raised")]
+#[test_case("2000.0", "1000.0", |config| format!("{:?}", config.longest_deadline); "guard time lowered")]
+#[test_case("\"tickMs\"", "\"extra\":{\"groups\":true},\"tickMs\"", |config| config.names.groups.to_string(); "whether clients have groups")]
+#[test_case("retryable", "fragile", |config| format!("{:?}", config.settings.classes); "effect of a class")]
+#[test_case("\"maxLegs\":3", "\"maxLegs\":2", |config| format!("{:?}", config.settings); "attempts")]
+fn a_changed_key_counts_after_a_reload(from: &str, to: &str, value: fn(&NodeConfig) -> String) {
+    let parse = |text: &str| super::decode::decode(text, |_| None).unwrap();
+    let changed = VALID_CONFIG.replace(from, to);
+    let (before, after) = (value(&parse(VALID_CONFIG)), value(&parse(&changed)));
+    assert_ne!(before, after);
+    let mut config = parse(VALID_CONFIG);
+    assert!(config.renew(parse(&changed)).later.is_empty());
+    assert_eq!(value(&config), after);
+    assert!(config.renew(parse(VALID_CONFIG)).later.is_empty());
+    assert_eq!(value(&config), before);
+}
+
+#[test_case("\"n1\"", "\"n2\"", "name")]
+#[test_case("127.0.0.1:3000", "127.0.0.1:3001", "listen")]
+#[test_case("\"seed\":", "\"admin\":\"127.0.0.1:9\",\"seed\":", "admin")]
+fn a_key_that_counts_from_the_next_start_is_named_at_a_reload(from: &str, to: &str, key: &str) {
+    let parse = |text: &str| super::decode::decode(text, |_| None).unwrap();
+    let renewed = parse(VALID_CONFIG).renew(parse(&VALID_CONFIG.replace(from, to)));
+    assert_eq!(renewed.later, [key]);
+}
