Send clients away that a process is handed and cannot serve, and do not cut them off

Cause: the old process hands over all open connections; the new one closed the sockets of a call that it could not place. Change: it sends the client MOVE, after the bytes that the old process had left for it; also if the call's message cannot be read. Serving on, as after SIGHUP, was weighed: the settings of the class would have to come along. Test: scenario upgrade_class_gone; before, the client hears the end without MOVE.

--- a/crates/node/src/handover/predecessor.rs
+++ b/crates/node/src/handover/predecessor.rs
@@ -13,7 +13,7 @@
 use crate::call::{Attempt, CallStage, InFlightCall};
 use crate::connection::Connection;
 use crate::hosts::MIGRATION_PERIOD;
-use crate::protocol::{ClientId, OpenLine, first_line_length};
+use crate::protocol::{Answer, ClientId, OpenLine, first_line_length};
 use crate::service::Service;
 use crate::socket::{ConnectionId, SocketRole};
 use crate::timers::TimerEvent;
@@ -26,7 +26,7 @@
 /// Maximum number of reads from the predecessor in one turn of the event loop.
 const MAX_READS_PER_TURN: usize = 64;
 
-/// Why a call of the predecessor cannot be adopted, so that its connections are closed.
+/// Why a call of the predecessor cannot be adopted.
 #[derive(Debug, thiserror::Error)]
 enum AdoptError {
     #[error("the socket of its client or host is missing")]
@@ -113,7 +113,7 @@
                 let client = self.handover.received_sockets.pop_front();
                 let host = self.handover.received_sockets.pop_front();
                 if let Err(cause) = self.adopt_call(*call, client, host) {
-                    warn!(%cause, "cannot adopt a call of the predecessor, closing its connections");
+                    warn!(%cause, "cannot adopt a call of the predecessor, migrating its client instead");
                 }
             }
             PredecessorMessage::IdleClient(received) => {
@@ -128,16 +128,29 @@
         }
     }
 
-    /// Closes the sockets that came with an invalid line; otherwise they would be taken for those of the next
-    /// line.
+    /// Takes the sockets that came with an invalid line; otherwise they would be taken for those of the next
+    /// line. The first one of a call is its client's.
     fn skip_predecessor_message(&mut self, cause: &MessageError) {
-        for _ in 0..cause.sockets() {
-            self.handover.received_sockets.pop_front();
+        let sockets = cause.sockets().min(self.handover.received_sockets.len());
+        let mut sockets = self.handover.received_sockets.drain(..sockets);
+        let client = sockets.next();
+        drop(sockets);
+        match client.filter(|_| matches!(cause, MessageError::Call(_))) {
+            Some(client) => {
+                warn!(%cause, "cannot adopt a call of the predecessor, migrating its client instead");
+                self.send_away(client, Vec::new());
+            }
+            None => debug!(%cause, "skipping an invalid message of the predecessor"),
         }
-        if matches!(cause, MessageError::Call(_)) {
-            warn!(%cause, "cannot adopt a call of the predecessor, closing its connections");
-        } else {
-            debug!(%cause, "skipping an invalid message of the predecessor");
+    }
+
+    /// Migrates the client of an open call that this process cannot serve, after the bytes that its predecessor
+    /// had for it.
+    fn send_away(&mut self, client: OwnedFd, unsent: Vec<u8>) {
+        let mut connection = Connection::new(client, false);
+        connection.outbox = unsent;
+        if let Some(client) = self.add_connection(connection, SocketRole::Client(None)) {
+            self.answer_client(client, Answer::Move);
         }
     }
 
@@ -149,7 +162,13 @@
         host: Option<OwnedFd>,
     ) -> Result<(), AdoptError> {
         let (client, host) = client.zip(host).ok_or(AdoptError::NoSockets)?;
-        let call = self.adopted_call(&handover)?;
+        let call = match self.adopted_call(&handover) {
+            Ok(call) => call,
+            Err(cause) => {
+                self.send_away(client, handover.client_outbox.into_bytes());
+                return Err(cause);
+            }
+        };
         let client_id = ClientId(handover.client_id);
         let host_id = HostId(handover.host);
         let awaiting_host_since = handover.waiting_for_host_ns.map(|waiting| self.now - Span(waiting));
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -147,6 +147,7 @@
 #[test_case("upgrade_undone_twice"; "two next processes die, and the first has the clients again")]
 #[test_case("shorter_guard"; "a node whose guard times were shortened by a reload leaves within them")]
 #[test_case("reload_and_term"; "settings that a reload brought count for an end that is ordered right after it")]
+#[test_case("upgrade_class_gone"; "clients whose class the next process does not know are sent away")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap();
--- a/crates/node/tests/sockets/processes.rs
+++ b/crates/node/tests/sockets/processes.rs
@@ -115,6 +115,7 @@
                 config["settings"] = 7.into();
                 self.reload(&config);
             }
+            ["never", changes @ ..] => self.write_config(&self.config_with(changes)),
             ["unheard", changes @ ..] => self.reload(&self.config_with(changes)),
             ["settings", changes @ ..] => {
                 self.reload(&self.config_with(changes));
--- a/crates/node/tests/sockets/world.rs
+++ b/crates/node/tests/sockets/world.rs
@@ -197,9 +197,14 @@
         connections.get_mut(name).unwrap_or_else(|| panic!("no {side} {name}"))
     }
 
+    /// Writes a configuration, which the next process reads.
+    pub(crate) fn write_config(&self, config: &Value) {
+        std::fs::write(&self.config_path, config.to_string()).unwrap();
+    }
+
     /// Writes a configuration and has the node read it.
     pub(crate) fn reload(&self, config: &Value) {
-        std::fs::write(&self.config_path, config.to_string()).unwrap();
+        self.write_config(config);
         self.process.signal(Signal::HUP);
     }
 }
