Do not say that a host is empty while two processes of a node may hold connections

The group says that it may stop, with 16 or 17 connections of the old process there; they are cut off as it does. Cause: both processes send heartbeats under one name, each with what it holds itself, and the leader goes by the last one. Change: a unit of which another process was heard within 5 s does not count as holding nothing. A leader cannot tell a killed process from a replaced one, so a host may be said to be empty up to 5 s later after a restart. Test: a_host_is_not_empty_while_a_process_that_is_replaced_may_hold_connections_there; fails before.

--- a/crates/fleet/src/leader/hosts.rs
+++ b/crates/fleet/src/leader/hosts.rs
@@ -1,6 +1,9 @@
 //! Host controller: proposes changes of the endpoint list, and watches hosts that are out until they are
 //! empty or back.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 
 use super::proposals::LeaderAction;
@@ -122,7 +125,11 @@
             // reporting it.
             let knows_the_same = (applied..=context.state.applied).contains(&known.heartbeat.have.applied);
             let holds = known.heartbeat.holds.as_ref();
-            knows_the_same && holds.is_some_and(|holds| !holds.iter().any(|(held, _)| held == host))
+            // While a process is being replaced, the heartbeats of two alternate, and each tells of its own
+            // connections only.
+            let is_only_process = !known.has_other_process(context.now);
+            let holds_nothing = holds.is_some_and(|holds| !holds.iter().any(|(held, _)| held == host));
+            knows_the_same && is_only_process && holds_nothing
         });
         is_passed_over || reports_nothing
     })
--- a/crates/fleet/src/liveness.rs
+++ b/crates/fleet/src/liveness.rs
@@ -98,6 +98,12 @@
         }
     }
 
+    /// Whether another process of the unit was heard recently enough that it may still be running beside the one
+    /// that was heard last.
+    pub(crate) fn has_other_process(&self, now: Timestamp) -> bool {
+        self.other_process.is_some_and(|(_, alive_at)| now.ms_since(alive_at) < LOST_MS)
+    }
+
     /// Whether this process of the unit was heard recently enough that it may still be running.
     pub(crate) fn may_still_run(&self, incarnation: Incarnation, now: Timestamp) -> bool {
         self.heartbeat.incarnation == incarnation
